--- /dev/null
+++ b/libraries/base/identifiers.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+/// @file
+/// Identities shared by every process: incarnations, jobs, tasks.
+
+namespace wagtail {
+
+/// One life of an entry process. A restarted entry is another incarnation.
+struct entry_incarnation {
+  uint64_t nonce = 0;  ///< random, never zero for a live incarnation
+  auto operator<=>(const entry_incarnation&) const = default;
+};
+
+/// One life of a target's daemon. Numbers of the same target only grow.
+struct target_incarnation {
+  std::string target;   ///< name of the target, stable over restarts
+  uint64_t number = 0;  ///< 1 for the first life
+  auto operator<=>(const target_incarnation&) const = default;
+  template <typename H>
+  friend H AbslHashValue(H state, const target_incarnation& value) {
+    return H::combine(std::move(state), value.target, value.number);
+  }
+};
+
+/// A job, named by the entry incarnation that minted its id.
+struct job_key {
+  entry_incarnation owner;
+  uint64_t sequence = 0;  ///< counts the ids minted by `owner`
+  auto operator<=>(const job_key&) const = default;
+  template <typename H>
+  friend H AbslHashValue(H state, const job_key& value) {
+    return H::combine(std::move(state), value.owner.nonce, value.sequence);
+  }
+};
+
+/// One task of a job.
+struct task_key {
+  job_key job;
+  uint32_t index = 0;  ///< position in the job as submitted
+  auto operator<=>(const task_key&) const = default;
+  template <typename H>
+  friend H AbslHashValue(H state, const task_key& value) {
+    return H::combine(std::move(state), value.job, value.index);
+  }
+};
+
+/// @return a short text for logs, `owner-sequence` in hexadecimal
+std::string ToString(const job_key& key);
+/// @return `name#number`
+std::string ToString(const target_incarnation& incarnation);
+
+/// Stable 64-bit digest for comparing bodies and hashing names across processes; not a secret.
+/// @param bytes any bytes
+uint64_t DigestOf(std::string_view bytes);
+
+}  // namespace wagtail
--- /dev/null
+++ b/libraries/base/time.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+/// @file
+/// Monotonic time as used by every decision. Decision code never reads a clock: it is handed the
+/// time of the event, so that tests run it over a virtual clock.
+
+namespace wagtail {
+
+using duration = std::chrono::microseconds;
+/// Time since an arbitrary origin of this process, on the monotonic clock.
+using instant = std::chrono::time_point<std::chrono::steady_clock, duration>;
+/// Source of the current time, replaced by a virtual clock in tests.
+using clock_hook = std::function<instant()>;
+
+/// @return the present on the monotonic clock
+inline instant MonotonicNow() {
+  return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+}
+
+/// @return whole milliseconds of `span`
+constexpr int64_t ToMilliseconds(duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+/// @return seconds of `span` as a fraction, the unit of every exported metric
+constexpr double ToSeconds(duration span) { return std::chrono::duration<double>(span).count(); }
+
+}  // namespace wagtail
