--- /dev/null
+++ b/libraries/http/http_server.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "http/http_message.h"
+
+namespace wagtail {
+
+struct http_server_options {
+  std::string address = "127.0.0.1";  ///< IPv4 address to listen on
+  uint16_t port = 0;                  ///< 0 takes an ephemeral port
+  size_t max_body_bytes = 4 << 20;    ///< larger requests are answered 413
+  unsigned max_connections = 512;
+};
+
+/// HTTP server on ulfius with one handler for every path; a thread per connection.
+class http_server {
+ public:
+  /// Starts listening.
+  /// @param options address, port and limits
+  /// @param handler answers every request; must be safe to call from several threads
+  /// @return the running server, or http_error::kListenFailed
+  static absl::StatusOr<std::unique_ptr<http_server>> Start(http_server_options options,
+                                                            http_handler handler);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /// @return the port in use, also when an ephemeral one was asked for
+  uint16_t port() const;
+  /// Stops listening, waits for requests in progress and ends; idempotent.
+  void Stop();
+
+ private:
+  struct state;
+  explicit http_server(std::unique_ptr<state> state);
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace wagtail
