Add a placement pool with three baselines and an expected-finish policy

Cause: the dispatcher needs a placement object to code against, and the policy needs baselines that share its bookkeeping. placement.h gains SetWaiting, optional to call, and states when OnSent is called. Nothing is measured yet; the knobs are first guesses. Built and linted; no test runs over it so far.

--- /dev/null
+++ b/libraries/placement/expected_finish.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <vector>
+
+#include "placement/placement_options.h"
+#include "placement/service_group.h"
+
+/// @file
+/// Chooses the target with the earliest expected finish, or none while waiting is expected to pay.
+
+namespace wagtail {
+
+/// The policy behind placement_policy::kExpectedFinish; free of state of its own.
+class expected_finish {
+ public:
+  explicit expected_finish(const placement_options& options) : options_(options) {}
+
+  target_state* Choose(const choice_request& request) const;
+
+ private:
+  /// What is expected of one target; times in microseconds.
+  struct forecast {
+    target_state* target = nullptr;
+    double typical_run = 0;
+    double mean_run = 0;
+    double finish = 0;     ///< expected time until a task sent now is done
+    bool is_open = false;  ///< whether a task may be sent now
+  };
+  /// Run times assumed of targets that are not known yet; microseconds.
+  struct group_run_time {
+    double typical = 0;
+    double mean = 0;
+  };
+
+  group_run_time AssumedRun(const service_group& group) const;
+  forecast ForecastOf(target_state* target, const group_run_time& assumed, instant now) const;
+  double ExpectedWait(std::span<const forecast> forecasts, const forecast& best,
+                      uint32_t position) const;
+  target_state* BreakTie(std::span<const forecast> forecasts, const forecast& best,
+                         std::mt19937_64& random) const;
+
+  placement_options options_;
+};
+
+}  // namespace wagtail
--- a/libraries/placement/placement.h
+++ b/libraries/placement/placement.h
@@ -63,6 +63,14 @@
   /// @return when waiting tasks should be offered again although nothing happened; may be empty
   virtual std::optional<instant> NextWake(instant now) const = 0;
 
+  /// Tells how many tasks of a service wait at this entry, the one about to be offered included.
+  /// Call it before a round of picks; an implementation may send more work to slower targets when
+  /// more tasks wait. Without it only the picks turned away at the same instant are counted.
+  virtual void SetWaiting(std::string_view /*service*/, uint32_t /*tasks*/) {}
+
+  /// Call it right after the Pick that chose the target, before any other call. Each sent task is
+  /// followed by exactly one of OnResult, OnRefused and OnLost, also when its target was removed
+  /// meanwhile.
   virtual void OnSent(const target_incarnation& target, instant now) = 0;
   /// @param run_time how long the target took for the task itself, as measured by its daemon
   virtual void OnResult(const target_incarnation& target, task_outcome outcome, duration run_time,
--- /dev/null
+++ b/libraries/placement/run_time_estimate.cc
@@ -0,0 +1,23 @@
+#include "placement/run_time_estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wagtail {
+
+void run_time_estimate::Add(duration run_time) {
+  double measured = std::max<double>(1, static_cast<double>(run_time.count()));
+  if (results_ >= options_.trusted_results) {
+    measured = std::min(measured, options_.outlier_factor * typical());
+  }
+  ++results_;
+  const double weight = std::max(options_.min_weight, 1.0 / results_);
+  log_typical_ += weight * (std::log(measured) - log_typical_);
+  mean_ += weight * (measured - mean_);
+}
+
+void run_time_estimate::Distrust() { results_ = std::min(results_, options_.trusted_results); }
+
+double run_time_estimate::typical() const { return std::exp(log_typical_); }
+
+}  // namespace wagtail
