--- a/libraries/placement/expected_finish.cc
+++ b/libraries/placement/expected_finish.cc
@@ -8,11 +8,17 @@
 namespace wagtail {
 
 target_state* expected_finish::Choose(const choice_request& request) const {
-  const group_run_time assumed = AssumedRun(request.group);
+  const service_run_time service = RunTimeOf(request.group);
   std::vector<forecast> forecasts;
-  forecasts.reserve(request.candidates.size());
-  for (target_state* target : request.candidates) {
-    forecasts.push_back(ForecastOf(target, assumed, request.now));
+  forecasts.reserve(request.group.targets.size());
+  for (target_state* target : request.group.targets) {
+    if (!target->IsUsable()) {
+      continue;
+    }
+    forecast entry = ForecastOf(target, service, request.now);
+    entry.is_open =
+        entry.is_open && std::ranges::find(request.candidates, target) != request.candidates.end();
+    forecasts.push_back(entry);
   }
   const auto cost = [](const forecast& entry) {
     return entry.is_open ? entry.finish : std::numeric_limits<double>::infinity();
@@ -32,43 +38,44 @@
   return BreakTie(forecasts, *best, request.random);
 }
 
-expected_finish::group_run_time expected_finish::AssumedRun(const service_group& group) const {
-  const auto assumed = static_cast<double>(options_.learning.assumed_run.count());
+expected_finish::service_run_time expected_finish::RunTimeOf(const service_group& group) const {
   double log_sum = 0;
   double mean_sum = 0;
+  double inverse_sum = 0;
   uint32_t known = 0;
   for (const target_state* target : group.targets) {
-    if (target->run_time().results() == 0) {
+    const run_time_estimate& learnt = target->run_time();
+    if (learnt.results() < options_.learning.trusted_results) {
       continue;
     }
     ++known;
-    log_sum += std::log(target->run_time().typical());
-    mean_sum += target->run_time().mean();
+    log_sum += std::log(learnt.typical());
+    mean_sum += learnt.mean_factor();
+    inverse_sum += learnt.inverse_factor();
   }
   if (known == 0) {
-    return {assumed, assumed};
+    return {.typical = static_cast<double>(options_.learning.assumed_run.count())};
   }
-  return {std::exp(log_sum / known), mean_sum / known};
+  return {std::exp(log_sum / known), mean_sum / known, known / inverse_sum};
 }
 
 expected_finish::forecast expected_finish::ForecastOf(target_state* target,
-                                                      const group_run_time& assumed,
+                                                      const service_run_time& service,
                                                       instant now) const {
   forecast result{.target = target};
   const run_time_estimate& learnt = target->run_time();
   const bool is_known = learnt.results() >= options_.learning.trusted_results;
-  result.typical_run = is_known ? learnt.typical() : assumed.typical;
-  result.mean_run = is_known ? learnt.mean() : assumed.mean;
+  double typical = is_known ? learnt.typical() : service.typical;
   const auto silence = static_cast<double>(target->SilenceAt(now).count());
-  if (silence > options_.learning.silence_factor * result.mean_run) {
-    result.typical_run = std::max(result.typical_run, silence);
-    result.mean_run = std::max(result.mean_run, silence);
+  if (silence > options_.learning.silence_factor * service.mean_factor * typical) {
+    typical = silence;
   }
+  result.run = typical * service.run_factor;
+  result.mean_run = typical * service.mean_factor;
   const double slots = target->profile().slots;
   const double occupied = target->outstanding() + target->OthersAt(now, result.mean_run);
   const double ahead = std::max(0.0, occupied + 1 - slots);
-  result.finish = static_cast<double>(options_.round_trip.count()) + result.typical_run +
-                  ahead * result.mean_run / slots;
+  result.finish = RoundTripTo(*target) + result.run + ahead * result.mean_run / slots;
   result.is_open = target->outstanding() < target->window().WindowAt(now) &&
                    ahead <= options_.queue_ahead && !target->health().IsEjected(now);
   return result;
@@ -79,20 +86,26 @@
   double frees_per_microsecond = 0;
   double weighted_run = 0;
   for (const forecast& entry : forecasts) {
-    if (entry.typical_run >= best.finish || entry.target == best.target) {
+    if (entry.run >= best.finish || entry.target == best.target) {
       continue;
     }
     const double rate = entry.target->outstanding() / entry.mean_run;
     frees_per_microsecond += rate;
-    weighted_run += rate * entry.typical_run;
+    weighted_run += rate * (RoundTripTo(*entry.target) + entry.run);
   }
   if (frees_per_microsecond <= 0) {
     return std::numeric_limits<double>::infinity();
   }
-  return static_cast<double>(options_.round_trip.count()) + position / frees_per_microsecond +
+  return options_.wait_weight * position / frees_per_microsecond +
          weighted_run / frees_per_microsecond;
 }
 
+double expected_finish::RoundTripTo(const target_state& target) const {
+  const bool is_near = target.profile().failure_domain == options_.failure_domain;
+  const duration round_trip = is_near ? options_.round_trip_within : options_.round_trip;
+  return static_cast<double>(round_trip.count());
+}
+
 target_state* expected_finish::BreakTie(std::span<const forecast> forecasts, const forecast& best,
                                         std::mt19937_64& random) const {
   const double limit = best.finish * (1 + options_.tie_tolerance);
--- a/libraries/placement/expected_finish.h
+++ b/libraries/placement/expected_finish.h
@@ -21,21 +21,23 @@
   /// What is expected of one target; times in microseconds.
   struct forecast {
     target_state* target = nullptr;
-    double typical_run = 0;
-    double mean_run = 0;
+    double run = 0;        ///< expected run time as it weighs in response / ideal
+    double mean_run = 0;   ///< mean run time, for the pace at which slots become free
     double finish = 0;     ///< expected time until a task sent now is done
     bool is_open = false;  ///< whether a task may be sent now
   };
-  /// Run times assumed of targets that are not known yet; microseconds.
-  struct group_run_time {
-    double typical = 0;
-    double mean = 0;
+  /// Run times of a service over all its targets.
+  struct service_run_time {
+    double typical = 0;      ///< assumed of a target that is not known yet; microseconds
+    double mean_factor = 1;  ///< mean run / typical run
+    double run_factor = 1;   ///< harmonic mean of runs / typical run
   };
 
-  group_run_time AssumedRun(const service_group& group) const;
-  forecast ForecastOf(target_state* target, const group_run_time& assumed, instant now) const;
+  service_run_time RunTimeOf(const service_group& group) const;
+  forecast ForecastOf(target_state* target, const service_run_time& service, instant now) const;
   double ExpectedWait(std::span<const forecast> forecasts, const forecast& best,
                       uint32_t position) const;
+  double RoundTripTo(const target_state& target) const;
   target_state* BreakTie(std::span<const forecast> forecasts, const forecast& best,
                          std::mt19937_64& random) const;
 
--- a/libraries/placement/placement_options.h
+++ b/libraries/placement/placement_options.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <string>
 
 #include "base/time.h"
 #include "placement/placement.h"
@@ -53,11 +54,18 @@
 
 struct placement_options {
   placement_policy policy = placement_policy::kExpectedFinish;
-  uint64_t seed = 1;         ///< of tie-breaks and random choices
-  uint32_t local_queue = 2;  ///< tasks that a target's daemon accepts beyond its slots
-  duration round_trip = std::chrono::milliseconds(2);  ///< entry to target and back, typical
-  double queue_ahead = 1;  ///< tasks beyond the slots that this policy expects to queue locally
-  double tie_tolerance = 0.05;  ///< targets within this fraction of the best cost are tied
+  uint64_t seed = 1;           ///< of tie-breaks and random choices
+  uint32_t local_queue = 2;    ///< tasks that a target's daemon accepts beyond its slots
+  std::string failure_domain;  ///< of this entry; empty if unknown
+  duration round_trip_within =
+      std::chrono::microseconds(500);  ///< entry to a target of its own failure domain and back
+  duration round_trip = std::chrono::milliseconds(3);  ///< the same to another failure domain
+  /// Tasks of all entries beyond a target's slots up to which one more is sent there.
+  double queue_ahead = 0.25;
+  /// Weight of the expected wait for a faster target. Above 1 because a waiting task also delays
+  /// those that come after it.
+  double wait_weight = 4;
+  double tie_tolerance = 0.02;  ///< targets within this fraction of the best cost are tied
   learning_options learning;
   slow_start_options slow_start;
   ejection_options ejection;
--- a/libraries/placement/run_time_estimate.cc
+++ b/libraries/placement/run_time_estimate.cc
@@ -8,12 +8,18 @@
 void run_time_estimate::Add(duration run_time) {
   double measured = std::max<double>(1, static_cast<double>(run_time.count()));
   if (results_ >= options_.trusted_results) {
-    measured = std::min(measured, options_.outlier_factor * typical());
+    const double least = typical() / options_.outlier_factor;
+    measured = std::clamp(measured, least, options_.outlier_factor * typical());
   }
   ++results_;
   const double weight = std::max(options_.min_weight, 1.0 / results_);
   log_typical_ += weight * (std::log(measured) - log_typical_);
-  mean_ += weight * (measured - mean_);
+  if (results_ < options_.trusted_results) {
+    return;
+  }
+  const double relative = measured / typical();
+  mean_factor_ += options_.min_weight * (relative - mean_factor_);
+  inverse_factor_ += options_.min_weight * (1 / relative - inverse_factor_);
 }
 
 void run_time_estimate::Distrust() { results_ = std::min(results_, options_.trusted_results); }
--- a/libraries/placement/run_time_estimate.h
+++ b/libraries/placement/run_time_estimate.h
@@ -10,7 +10,10 @@
 
 namespace wagtail {
 
-/// Running estimate of a run time: geometric and arithmetic mean with exponential forgetting.
+/// Running estimate of the run times on one target, with exponential forgetting. The typical run is
+/// a geometric mean: outliers hardly move it, and its ratio between targets is that of their
+/// speeds. The two shape factors tell how the sizes of a service's tasks spread; they hardly depend
+/// on the target.
 class run_time_estimate {
  public:
   explicit run_time_estimate(const learning_options& options) : options_(options) {}
@@ -22,16 +25,19 @@
 
   /// @return how many results stand behind the figures
   uint32_t results() const { return results_; }
-  /// @return geometric mean in microseconds: a ratio between targets that outliers hardly move
+  /// @return geometric mean in microseconds
   double typical() const;
-  /// @return arithmetic mean in microseconds: for the rate at which slots become free
-  double mean() const { return mean_; }
+  /// @return arithmetic mean / typical run: for the rate at which slots become free
+  double mean_factor() const { return mean_factor_; }
+  /// @return mean of typical run / run: how much a wait of one typical run costs in response / run
+  double inverse_factor() const { return inverse_factor_; }
 
  private:
   learning_options options_;
   uint32_t results_ = 0;
   double log_typical_ = 0;
-  double mean_ = 0;
+  double mean_factor_ = 1;
+  double inverse_factor_ = 1;
 };
 
 }  // namespace wagtail
--- a/utilities/policy_bench/main.cc
+++ b/utilities/policy_bench/main.cc
@@ -112,6 +112,7 @@
   app.add_option("--seconds", settings.seconds, "virtual length of a run");
   app.add_option("--local-queue", settings.options.local_queue, "tasks a daemon queues");
   app.add_option("--queue-ahead", settings.options.queue_ahead, "tasks queued on purpose");
+  app.add_option("--wait-weight", settings.options.wait_weight, "weight of waiting");
   app.add_option("--tie", settings.options.tie_tolerance, "fraction of cost that ties");
   app.add_flag("--json", settings.as_json, "JSON instead of Markdown");
   CLI11_PARSE(app, argc, argv);
--- a/utilities/policy_bench/model.cc
+++ b/utilities/policy_bench/model.cc
@@ -20,12 +20,16 @@
 constexpr duration kWindowTail = std::chrono::seconds(10);
 constexpr duration kFluidStep = std::chrono::milliseconds(5);
 
+std::string DomainName(uint32_t domain) { return "domain-" + std::to_string(domain); }
+
 }  // namespace
 
 model::model(const scenario& scenario, std::span<const task_arrival> arrivals,
              placement_options options)
     : scenario_(scenario), arrivals_(arrivals), excluded_(arrivals.size()), random_(options.seed) {
   options.local_queue = scenario.local_queue;
+  options.round_trip_within = 2 * scenario.delay_within;
+  options.round_trip = 2 * scenario.delay_between;
   for (uint32_t target = 0; target < scenario.targets.size(); ++target) {
     target_model state;
     state.shape = scenario.targets[target];
@@ -34,11 +38,13 @@
   }
   for (uint32_t entry = 0; entry < scenario.entries; ++entry) {
     options.seed += 1;
+    options.failure_domain = DomainName(entry % scenario.domains);
     entries_.emplace_back().policy = MakePlacement(options);
     for (const target_model& target : targets_) {
       target_profile profile;
       profile.incarnation = target.incarnation;
       profile.service = kService;
+      profile.failure_domain = DomainName(target.shape.domain);
       profile.slots = target.shape.slots;
       entries_.back().policy->AddTarget(profile, now());
     }
