--- a/libraries/placement/expected_finish.cc
+++ b/libraries/placement/expected_finish.cc
@@ -3,12 +3,30 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <ranges>
+#include <numbers>
 
 namespace wagtail {
 
+namespace {
+
+/// @return mean of max(0, x) for a normal x
+double ExpectedExcess(double mean, double deviation) {
+  if (deviation < 1e-6) {
+    return std::max(0.0, mean);
+  }
+  const double z = mean / deviation;
+  const double density = std::exp(-0.5 * z * z) / std::sqrt(2 * std::numbers::pi);
+  const double below = 0.5 * std::erfc(-z / std::numbers::sqrt2);
+  return mean * below + deviation * density;
+}
+
+}  // namespace
+
 target_state* expected_finish::Choose(const choice_request& request) const {
-  const service_run_time service = RunTimeOf(request.group);
+  service_run_time service = RunTimeOf(request.group);
+  const uint32_t position =
+      std::max<uint32_t>(request.group.waiting, request.group.turned_away + 1);
+  service.queue_ahead = QueueAhead(request.group, position);
   std::vector<forecast> forecasts;
   forecasts.reserve(request.group.targets.size());
   for (target_state* target : request.group.targets) {
@@ -30,14 +48,22 @@
   if (best->target->IsProbeDue(request.now)) {
     return best->target;
   }
-  const uint32_t position =
-      std::max<uint32_t>(request.group.waiting, request.group.turned_away + 1);
   if (ExpectedWait(forecasts, *best, position) < best->finish) {
     return nullptr;
   }
   return BreakTie(forecasts, *best, request.random);
 }
 
+double expected_finish::QueueAhead(const service_group& group, uint32_t position) const {
+  double slots = 0;
+  for (const target_state* target : group.targets) {
+    slots += target->IsUsable() ? target->profile().slots : 0;
+  }
+  const double deep_backlog = std::max(1.0, options_.deep_backlog * slots);
+  return options_.queue_ahead +
+         options_.backlog_queue_ahead * std::min(1.0, (position - 1) / deep_backlog);
+}
+
 expected_finish::service_run_time expected_finish::RunTimeOf(const service_group& group) const {
   double log_sum = 0;
   double mean_sum = 0;
@@ -74,10 +100,11 @@
   result.mean_run = typical * service.mean_factor;
   const double slots = target->profile().slots;
   const double occupied = target->outstanding() + target->OthersAt(now, result.mean_run);
-  const double ahead = std::max(0.0, occupied + 1 - slots);
+  const double ahead =
+      ExpectedExcess(occupied + 1 - slots, target->OthersDeviationAt(now, result.mean_run));
   result.finish = RoundTripTo(*target) + result.run + ahead * result.mean_run / slots;
   result.is_open = target->outstanding() < target->window().WindowAt(now) &&
-                   ahead <= options_.queue_ahead && !target->health().IsEjected(now);
+                   ahead <= service.queue_ahead && !target->health().IsEjected(now);
   return result;
 }
 
--- a/libraries/placement/expected_finish.h
+++ b/libraries/placement/expected_finish.h
@@ -31,8 +31,10 @@
     double typical = 0;      ///< assumed of a target that is not known yet; microseconds
     double mean_factor = 1;  ///< mean run / typical run
     double run_factor = 1;   ///< harmonic mean of runs / typical run
+    double queue_ahead = 0;  ///< tasks beyond the slots up to which one more is sent
   };
 
+  double QueueAhead(const service_group& group, uint32_t position) const;
   service_run_time RunTimeOf(const service_group& group) const;
   forecast ForecastOf(target_state* target, const service_run_time& service, instant now) const;
   double ExpectedWait(std::span<const forecast> forecasts, const forecast& best,
--- a/libraries/placement/other_load_estimate.cc
+++ b/libraries/placement/other_load_estimate.cc
@@ -30,6 +30,12 @@
   return mean_ + (reported_ - mean_) * std::exp(-age / std::max(1.0, mean_run));
 }
 
+double other_load_estimate::DeviationAt(instant now, double mean_run) const {
+  const auto age = static_cast<double>((now - reported_at_).count());
+  const double fresh = std::exp(-2 * age / std::max(1.0, mean_run));
+  return std::sqrt(At(now, mean_run) * (1 - fresh));
+}
+
 void other_load_estimate::ForgetArrived(instant now) {
   while (!on_the_way_.empty() && now - on_the_way_.front() >= round_trip_) {
     on_the_way_.pop_front();
--- a/libraries/placement/other_load_estimate.h
+++ b/libraries/placement/other_load_estimate.h
@@ -27,6 +27,9 @@
   /// @param mean_run mean run time on the target in microseconds
   /// @return expected number of tasks of other entries, running or queued
   double At(instant now, double mean_run) const;
+  /// @param mean_run mean run time on the target in microseconds
+  /// @return standard deviation of the load around At(), which grows with the age of the report
+  double DeviationAt(instant now, double mean_run) const;
 
  private:
   /// Weight of a report in the long-run mean.
--- a/libraries/placement/placement_options.h
+++ b/libraries/placement/placement_options.h
@@ -60,11 +60,15 @@
   duration round_trip_within =
       std::chrono::microseconds(500);  ///< entry to a target of its own failure domain and back
   duration round_trip = std::chrono::milliseconds(3);  ///< the same to another failure domain
-  /// Tasks of all entries beyond a target's slots up to which one more is sent there.
-  double queue_ahead = 0.25;
+  /// Tasks expected to queue at a target, of all entries, up to which one more is sent there.
+  double queue_ahead = 0.5;
+  /// How far that rises while a deep backlog waits at this entry, where waiting costs the same.
+  double backlog_queue_ahead = 1.5;
+  /// Tasks waiting at this entry, per usable slot, that make a deep backlog.
+  double deep_backlog = 0.2;
   /// Weight of the expected wait for a faster target. Above 1 because a waiting task also delays
   /// those that come after it.
-  double wait_weight = 4;
+  double wait_weight = 6;
   double tie_tolerance = 0.02;  ///< targets within this fraction of the best cost are tied
   learning_options learning;
   slow_start_options slow_start;
--- a/libraries/placement/target_state.h
+++ b/libraries/placement/target_state.h
@@ -49,6 +49,10 @@
   /// @param mean_run mean run time on the target in microseconds
   /// @return expected number of tasks of other entries on the target
   double OthersAt(instant now, double mean_run) const { return others_.At(now, mean_run); }
+  /// @return standard deviation of that number
+  double OthersDeviationAt(instant now, double mean_run) const {
+    return others_.DeviationAt(now, mean_run);
+  }
   /// @return how long outstanding tasks have brought no news, zero without outstanding tasks
   duration SilenceAt(instant now) const;
   /// @return whether the run time should be measured anew by one task
