--- a/libraries/placement/expected_finish.cc
+++ b/libraries/placement/expected_finish.cc
@@ -45,8 +45,11 @@
   if (best == forecasts.end() || !best->is_open) {
     return nullptr;
   }
-  if (best->target->IsProbeDue(request.now)) {
-    return best->target;
+  const auto probe = std::ranges::find_if(forecasts, [&](const forecast& entry) {
+    return entry.is_open && entry.target->IsProbeDue(request.now);
+  });
+  if (probe != forecasts.end()) {
+    return probe->target;
   }
   if (ExpectedWait(forecasts, *best, position) < best->finish) {
     return nullptr;
--- a/libraries/placement/other_load_estimate.cc
+++ b/libraries/placement/other_load_estimate.cc
@@ -26,14 +26,18 @@
 }
 
 double other_load_estimate::At(instant now, double mean_run) const {
-  const auto age = static_cast<double>((now - reported_at_).count());
-  return mean_ + (reported_ - mean_) * std::exp(-age / std::max(1.0, mean_run));
+  const double age = AgeIn(mean_run, now);
+  const double mean = mean_ * std::exp(-std::max(0.0, age / kRunsRemembered - 1));
+  return mean + (reported_ - mean_) * std::exp(-age);
 }
 
 double other_load_estimate::DeviationAt(instant now, double mean_run) const {
-  const auto age = static_cast<double>((now - reported_at_).count());
-  const double fresh = std::exp(-2 * age / std::max(1.0, mean_run));
-  return std::sqrt(At(now, mean_run) * (1 - fresh));
+  const double fresh = std::exp(-2 * AgeIn(mean_run, now));
+  return std::sqrt(std::max(0.0, At(now, mean_run)) * (1 - fresh));
+}
+
+double other_load_estimate::AgeIn(double mean_run, instant now) const {
+  return static_cast<double>((now - reported_at_).count()) / std::max(1.0, mean_run);
 }
 
 void other_load_estimate::ForgetArrived(instant now) {
--- a/libraries/placement/other_load_estimate.h
+++ b/libraries/placement/other_load_estimate.h
@@ -11,7 +11,8 @@
 namespace wagtail {
 
 /// Load of other entries on one target. Between reports the estimate moves from the last report
-/// towards the long-run mean, at the pace at which the target's tasks finish.
+/// towards the long-run mean, at the pace at which the target's tasks finish. Without any report
+/// the mean itself is forgotten in the end, since the other entries may be gone.
 class other_load_estimate {
  public:
   /// @param round_trip tasks sent less than this ago are not in a report that arrives now
@@ -35,6 +36,11 @@
   /// Weight of a report in the long-run mean.
   static constexpr double kMeanWeight = 0.05;
 
+  /// Mean runs without a report after which the long-run mean begins to fade.
+  static constexpr double kRunsRemembered = 10;
+
+  /// @return age of the last report in mean runs
+  double AgeIn(double mean_run, instant now) const;
   void ForgetArrived(instant now);
 
   duration round_trip_;
--- a/libraries/placement/target_state.cc
+++ b/libraries/placement/target_state.cc
@@ -6,6 +6,13 @@
 
 namespace wagtail {
 
+namespace {
+
+/// A probe that ran in less than this share of the typical run suggests that the target recovered.
+constexpr double kRecoveredShare = 0.5;
+
+}  // namespace
+
 target_state::target_state(const target_profile& profile, const placement_options& options,
                            instant now)
     : profile_(profile),
@@ -53,6 +60,7 @@
 void target_state::OnSent(instant now) {
   VERIFY(IsUsable());
   VERIFY(HasRoom());
+  is_probing_ = is_probing_ || IsProbeDue(now);
   if (outstanding_ == 0) {
     last_news_ = now;
   }
@@ -68,6 +76,7 @@
     ejection_.OnFailure();
     return;
   }
+  OnProbed(run_time);
   run_time_.Add(run_time);
   last_result_ = now;
   if (outcome == task_outcome::kTimedOut) {
@@ -107,6 +116,19 @@
   return outstanding_ == 0 && now - last_result_ >= probe_interval_;
 }
 
+void target_state::OnProbed(duration run_time) {
+  if (!is_probing_) {
+    return;
+  }
+  is_probing_ = false;
+  if (static_cast<double>(run_time.count()) < kRecoveredShare * run_time_.typical()) {
+    run_time_.Distrust();
+    probe_interval_ = learning_.probe_interval;
+    return;
+  }
+  probe_interval_ = std::min(2 * probe_interval_, learning_.max_probe_interval);
+}
+
 void target_state::Conclude(instant now) {
   VERIFY(outstanding_ > 0);
   --outstanding_;
--- a/libraries/placement/target_state.h
+++ b/libraries/placement/target_state.h
@@ -60,6 +60,7 @@
 
  private:
   void Conclude(instant now);
+  void OnProbed(duration run_time);
 
   target_profile profile_;
   learning_options learning_;
@@ -71,6 +72,7 @@
   instant last_news_;
   instant last_result_;
   duration probe_interval_;
+  bool is_probing_ = false;
   run_time_estimate run_time_;
   other_load_estimate others_;
   slow_start slow_start_;
--- /dev/null
+++ b/tests/admission/team_quota_test.cc
@@ -0,0 +1,99 @@
+#include "admission/team_quota.h"
+
+#include <rapidcheck.h>
+
+#include <thread>
+#include <vector>
+
+#include "admission/admission_error.h"
+// Last: CppUTest's macros must not reach the library headers.
+#include <CppUTest/TestHarness.h>
+
+namespace wagtail {
+
+namespace {
+
+constexpr instant kStart{std::chrono::hours(1)};
+
+}  // namespace
+
+TEST_GROUP(TeamQuota){};
+
+TEST(TeamQuota, RefusesAJobWholeAndSaysWhy) {
+  struct refusal_case {
+    uint32_t admitted_before;
+    uint32_t tasks;
+    admission_error error;
+  };
+  const std::vector<refusal_case> cases = {
+      {0, 21, admission_error::kJobTooLarge},
+      {8, 13, admission_error::kStartsExceeded},
+      {10, 16, admission_error::kTasksInFlight},
+  };
+  for (const refusal_case& each : cases) {
+    team_quota quota({.starts_per_second = 10, .burst_tasks = 20, .max_tasks_in_flight = 25});
+    if (each.admitted_before > 0) {
+      CHECK(quota.TryAdmit(each.admitted_before, kStart).ok());
+    }
+    const absl::Status refused = quota.TryAdmit(each.tasks, kStart);
+    CHECK(ErrorOf<admission_error>(refused) == each.error);
+    LONGS_EQUAL(each.admitted_before, quota.tasks_in_flight());
+    const bool can_come_back = each.error != admission_error::kJobTooLarge;
+    CHECK(RetryAfterOf(refused).has_value() == can_come_back);
+  }
+}
+
+TEST(TeamQuota, AdmitsAtTheTimeThatTheRefusalNamed) {
+  CHECK(rc::check([] {
+    team_quota quota({.starts_per_second = 7, .burst_tasks = 50, .max_tasks_in_flight = 1000000});
+    instant now = kStart;
+    const auto jobs = *rc::gen::container<std::vector<uint32_t>>(rc::gen::inRange(1, 51));
+    for (const uint32_t tasks : jobs) {
+      const absl::Status first = quota.TryAdmit(tasks, now);
+      if (first.ok()) {
+        continue;
+      }
+      now += *RetryAfterOf(first);
+      RC_ASSERT(quota.TryAdmit(tasks, now).ok());
+    }
+  }));
+}
+
+TEST(TeamQuota, RevokedJobCostsNothing) {
+  team_quota quota({.starts_per_second = 1, .burst_tasks = 10, .max_tasks_in_flight = 10});
+  CHECK(quota.TryAdmit(10, kStart).ok());
+  quota.Revoke(10);
+  CHECK(quota.TryAdmit(10, kStart).ok());
+}
+
+TEST(TeamQuota, ThreadsTogetherNeverPassTheLimit) {
+  team_quota quota({.starts_per_second = 1, .burst_tasks = 5000, .max_tasks_in_flight = 5000});
+  std::atomic<uint32_t> admitted{0};
+  std::vector<std::jthread> threads;
+  threads.reserve(4);
+  for (int thread = 0; thread < 4; ++thread) {
+    threads.emplace_back([&] {
+      for (int job = 0; job < 1000; ++job) {
+        admitted += quota.TryAdmit(3, kStart).ok() ? 3 : 0;
+      }
+    });
+  }
+  threads.clear();
+  LONGS_EQUAL(4998, admitted.load());
+  LONGS_EQUAL(4998, quota.tasks_in_flight());
+}
+
+TEST(TeamQuota, NewLimitsReplaceTheQuota) {
+  team_quotas quotas;
+  CHECK(quotas.Find("club") == nullptr);
+  quotas.SetLimits("club", {.starts_per_second = 5});
+  const auto before = quotas.Find("club");
+  quotas.SetLimits("club", {.starts_per_second = 5});
+  CHECK(quotas.Find("club") == before);
+  quotas.SetLimits("club", {.starts_per_second = 6});
+  CHECK(quotas.Find("club") != before);
+  quotas.Remove("club");
+  CHECK(quotas.Find("club") == nullptr);
+}
+
+}  // namespace wagtail
--- a/utilities/policy_bench/main.cc
+++ b/utilities/policy_bench/main.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <iostream>
 
+#include "absl/strings/str_cat.h"
 #include "policy_bench/reference.h"
 #include "policy_bench/report.h"
 
@@ -80,8 +81,8 @@
       for (const std::string& faults : settings.faults) {
         auto scenario = FindScenario(name, mix);
         if (!scenario.has_value() || !AddFaults(*scenario, faults)) {
-          throw CLI::ValidationError("unknown scenario, mix or faults: " + name + " " + mix + " " +
-                                     faults);
+          throw CLI::ValidationError(
+              absl::StrCat("unknown scenario, mix or faults: ", name, " ", mix, " ", faults));
         }
         scenario->length = std::chrono::seconds(settings.seconds);
         scenario->entries = settings.entries;
@@ -112,6 +113,8 @@
   app.add_option("--seconds", settings.seconds, "virtual length of a run");
   app.add_option("--local-queue", settings.options.local_queue, "tasks a daemon queues");
   app.add_option("--queue-ahead", settings.options.queue_ahead, "tasks queued on purpose");
+  app.add_option("--backlog-queue-ahead", settings.options.backlog_queue_ahead,
+                 "further tasks queued on purpose under a deep backlog");
   app.add_option("--wait-weight", settings.options.wait_weight, "weight of waiting");
   app.add_option("--tie", settings.options.tie_tolerance, "fraction of cost that ties");
   app.add_flag("--json", settings.as_json, "JSON instead of Markdown");
--- a/utilities/policy_bench/model.cc
+++ b/utilities/policy_bench/model.cc
@@ -11,6 +11,8 @@
 
 constexpr std::string_view kService = "service";
 constexpr size_t kEntryQueueBound = 20000;
+/// Waiting tasks that a round of picks looks at beyond the one at the head of the queue.
+constexpr size_t kTasksLookedAt = 16;
 constexpr duration kQuickFailure = std::chrono::milliseconds(2);
 constexpr duration kTaskTimeout = std::chrono::seconds(10);
 constexpr double kSlowFactor = 10;
@@ -100,10 +102,9 @@
       state.waiting.erase(state.waiting.begin() + static_cast<ptrdiff_t>(position));
       continue;
     }
-    if (excluded_[task].empty()) {
+    if (excluded_[task].empty() || ++position == kTasksLookedAt) {
       break;
     }
-    ++position;
   }
   const auto wake = state.policy->NextWake(now());
   if (!wake.has_value() || state.waiting.empty() || state.wake_at <= wake->time_since_epoch()) {
@@ -132,14 +133,13 @@
 
 void model::Deliver(uint32_t target, uint32_t task) {
   target_model& state = targets_[target];
-  if (state.refuses) {
+  const bool is_full = state.queued.size() >= scenario_.local_queue;
+  if (state.refuses || (state.running >= state.shape.slots && is_full)) {
     Refuse(target, task);
   } else if (state.running < state.shape.slots) {
     Start(target, task);
-  } else if (state.queued.size() < scenario_.local_queue) {
-    state.queued.push_back(task);
   } else {
-    Refuse(target, task);
+    state.queued.push_back(task);
   }
 }
 
@@ -242,6 +242,11 @@
 }
 
 void model::MeasurePossibleWork() {
+  const bool has_departure = std::ranges::any_of(
+      scenario_.faults, [](const fault& each) { return each.kind == fault_kind::kLeave; });
+  if (!has_departure) {
+    return;
+  }
   std::vector<bool> admitted(scenario_.domains, true);
   size_t arrival = 0;
   size_t next_fault = 0;
