Add structured logging over log4cxx

One line a fact in key=value or JSON, ASCII whatever the values hold, because log4cxx writes in the locale of the process and would turn other bytes into question marks. A token bucket per fact name bounds storms and tells what it dropped; secrets are redacted by type; the level changes at run time.

--- /dev/null
+++ b/libraries/logging/logging.cc
@@ -0,0 +1,138 @@
+#include "logging/logging.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace wagtail {
+
+namespace {
+
+/// Above every level: nothing is written.
+constexpr int kSilent = static_cast<int>(log_level::kError) + 1;
+
+struct logging_state {
+  std::atomic<int> least_level = kSilent;
+  std::mutex mutex;  ///< guards what follows
+  logging_options options;
+  std::optional<log_limiter> limiter;
+  log4cxx::LoggerPtr logger;
+};
+
+logging_state& State() {
+  // Never destroyed, since detached threads may log until the process ends.
+  static auto& state = *new logging_state;
+  return state;
+}
+
+log4cxx::LevelPtr ToLibraryLevel(log_level level) {
+  switch (level) {
+    case log_level::kDebug:
+      return log4cxx::Level::getDebug();
+    case log_level::kInfo:
+      return log4cxx::Level::getInfo();
+    case log_level::kWarning:
+      return log4cxx::Level::getWarn();
+    case log_level::kError:
+      return log4cxx::Level::getError();
+  }
+  return log4cxx::Level::getOff();
+}
+
+log4cxx::LoggerPtr MakeLogger(log_destination destination) {
+  // The line is already whole, so the layout adds only its end.
+  auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+  auto target = destination == log_destination::kStandardError
+                    ? log4cxx::ConsoleAppender::getSystemErr()
+                    : log4cxx::ConsoleAppender::getSystemOut();
+  log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("wagtail");
+  logger->removeAllAppenders();
+  logger->setAdditivity(false);
+  logger->setLevel(log4cxx::Level::getAll());
+  logger->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, target));
+  return logger;
+}
+
+/// @pre the state's mutex is held
+void WriteLine(logging_state& state, log_level level, std::string_view fact,
+               std::span<const log_field> fields) {
+  std::string line =
+      FormatFact(state.options.format, state.options.wall_now(), level, fact, fields);
+  state.logger->forcedLogLS(ToLibraryLevel(level), line, LOG4CXX_LOCATION);
+}
+
+}  // namespace
+
+void SetUpLogging(logging_options options) {
+  logging_state& state = State();
+  std::lock_guard lock(state.mutex);
+  state.logger = MakeLogger(options.destination);
+  state.limiter.emplace(options.limit);
+  state.options = std::move(options);
+  state.least_level = static_cast<int>(state.options.level);
+}
+
+void SetLogLevel(log_level level) {
+  logging_state& state = State();
+  std::lock_guard lock(state.mutex);
+  if (state.logger) {
+    state.least_level = static_cast<int>(level);
+  }
+}
+
+log_level CurrentLogLevel() {
+  int level = State().least_level;
+  return level == kSilent ? log_level::kError : static_cast<log_level>(level);
+}
+
+void LogFact(log_level level, std::string_view fact, std::span<const log_field> fields) {
+  logging_state& state = State();
+  if (static_cast<int>(level) < state.least_level) {
+    return;
+  }
+  std::lock_guard lock(state.mutex);
+  std::optional<uint64_t> dropped = state.limiter->Admit(fact, state.options.now());
+  if (!dropped.has_value()) {
+    return;
+  }
+  if (*dropped == 0) {
+    WriteLine(state, level, fact, fields);
+    return;
+  }
+  std::vector<log_field> extended(fields.begin(), fields.end());
+  extended.push_back({.name = "dropped_before", .value = *dropped});
+  WriteLine(state, level, fact, extended);
+}
+
+void LogFact(log_level level, std::string_view fact, std::initializer_list<log_field> fields) {
+  LogFact(level, fact, std::span(fields.begin(), fields.size()));
+}
+
+void ReportDroppedFacts() {
+  logging_state& state = State();
+  std::lock_guard lock(state.mutex);
+  if (!state.limiter.has_value()) {
+    return;
+  }
+  for (const log_limiter::dropped_fact& dropped : state.limiter->TakeDropped()) {
+    std::vector<log_field> fields = {{"dropped_fact", dropped.fact}, {"lines", dropped.lines}};
+    WriteLine(state, log_level::kWarning, "log_lines_dropped", fields);
+  }
+}
+
+uint64_t DroppedLogLines() {
+  logging_state& state = State();
+  std::lock_guard lock(state.mutex);
+  return state.limiter.has_value() ? state.limiter->dropped_total() : 0;
+}
+
+}  // namespace wagtail
--- /dev/null
+++ b/libraries/logging/logging.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <span>
+#include <string_view>
+
+#include "base/time.h"
+#include "logging/fact_format.h"
+#include "logging/log_level.h"
+#include "logging/log_limiter.h"
+
+/// @file
+/// Structured logs of a process over log4cxx: one line a fact.
+
+namespace wagtail {
+
+enum class log_destination { kStandardError, kStandardOutput };
+
+struct logging_options {
+  log_format format = log_format::kKeyValue;
+  log_level level = log_level::kInfo;
+  log_destination destination = log_destination::kStandardError;
+  log_limiter_options limit = {};
+  clock_hook now = MonotonicNow;                                         ///< for the limiter
+  std::function<wall_time()> wall_now = std::chrono::system_clock::now;  ///< for the time field
+};
+
+/// Starts or replaces the logging of this process. Until the first call no fact is written, so that
+/// a program that embeds the libraries decides for itself.
+void SetUpLogging(logging_options options);
+
+/// Changes the level at run time; may be called from any thread.
+void SetLogLevel(log_level level);
+
+/// @return the least level that is written
+log_level CurrentLogLevel();
+
+/// Writes one line, unless its level is below the current one or its fact comes in a storm. May be
+/// called from any thread.
+/// @param fact name of the fact in snake case, a constant of the program
+/// @param fields what is known of it
+void LogFact(log_level level, std::string_view fact, std::span<const log_field> fields);
+void LogFact(log_level level, std::string_view fact, std::initializer_list<log_field> fields = {});
+
+/// Writes a `log_lines_dropped` line per fact whose dropped lines were not yet told. Daemons call
+/// it now and then and before they exit.
+void ReportDroppedFacts();
+
+/// @return lines dropped by the limiter since SetUpLogging
+uint64_t DroppedLogLines();
+
+}  // namespace wagtail
