--- a/libraries/http/http_client.h
+++ b/libraries/http/http_client.h
@@ -11,9 +11,9 @@
 /// One outgoing call.
 struct http_call {
   std::string method = "GET";
-  std::string url;  ///< http://IP:PORT/path?query, already percent-encoded
-  http_fields headers;
-  std::string body;
+  std::string url{};  ///< http://IP:PORT/path?query, already percent-encoded
+  http_fields headers{};
+  std::string body{};
   duration timeout = std::chrono::seconds(5);  ///< for the whole call
 };
 
--- a/libraries/http/http_message.h
+++ b/libraries/http/http_message.h
@@ -13,17 +13,17 @@
 using http_fields = std::map<std::string, std::string, std::less<>>;
 
 struct http_request {
-  std::string method;  ///< GET, POST, PUT or DELETE
-  std::string path;    ///< path without query, percent-decoded, for instance /v1/jobs/ID
-  http_fields query;
-  http_fields headers;
-  std::string body;
+  std::string method{};  ///< GET, POST, PUT or DELETE
+  std::string path{};    ///< path without query, percent-decoded, for instance /v1/jobs/ID
+  http_fields query{};
+  http_fields headers{};
+  std::string body{};
 };
 
 struct http_response {
   int status = 200;
-  http_fields headers;
-  std::string body;
+  http_fields headers{};
+  std::string body{};
 };
 
 /// Answers one request; called from several threads at once.
--- /dev/null
+++ b/libraries/http/http_server.cc
@@ -0,0 +1,248 @@
+#include "http/http_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <ulfius.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <condition_variable>
+#include <exception>
+#include <mutex>
+#include <span>
+#include <string_view>
+#include <utility>
+
+#include "base/time.h"
+#include "base/verify.h"
+#include "http/http_error.h"
+#include "http/http_runtime.h"
+
+namespace wagtail {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHandlerFailed = 500;
+constexpr int kStopping = 503;
+/// Idle connections are closed after this; also bounds how long a silent peer holds a thread.
+constexpr unsigned kIdleConnectionSeconds = 300;
+/// A connection that sends nothing is handed to the server only after this.
+constexpr int kDeferAcceptSeconds = 10;
+constexpr duration kDrainLimit = std::chrono::seconds(30);
+
+http_fields FieldsOf(const _u_map* map, bool lower_names) {
+  http_fields fields;
+  if (map == nullptr) {
+    return fields;
+  }
+  std::span keys(map->keys, static_cast<size_t>(map->nb_values));
+  for (size_t index = 0; index < keys.size(); ++index) {
+    const char* value = map->values[index];
+    std::string name = lower_names ? LowerCase(keys[index]) : std::string(keys[index]);
+    fields.insert_or_assign(std::move(name), value == nullptr ? std::string() : std::string(value));
+  }
+  return fields;
+}
+
+std::string PercentDecoded(const char* text) {
+  std::string decoded(text);
+  decoded.resize(MHD_http_unescape(decoded.data()));
+  return decoded;
+}
+
+http_request RequestOf(const _u_request* request) {
+  http_request result;
+  result.method = request->http_verb == nullptr ? "" : request->http_verb;
+  result.path = request->url_path == nullptr ? "" : PercentDecoded(request->url_path);
+  result.query = FieldsOf(request->map_url, true);
+  result.headers = FieldsOf(request->map_header, true);
+  if (request->binary_body != nullptr) {
+    result.body.assign(static_cast<const char*>(request->binary_body), request->binary_body_length);
+  }
+  return result;
+}
+
+void Answer(const http_response& answer, _u_response* response) {
+  if (answer.body.empty()) {
+    ulfius_set_empty_body_response(response, static_cast<unsigned>(answer.status));
+  } else {
+    ulfius_set_binary_body_response(response, static_cast<unsigned>(answer.status),
+                                    answer.body.data(), answer.body.size());
+  }
+  for (const auto& [name, value] : answer.headers) {
+    ulfius_add_header_to_response(response, name.c_str(), value.c_str());
+  }
+}
+
+/// With a thread per connection every callback of a request runs on that connection's thread.
+thread_local bool answering = false;
+
+}  // namespace
+
+/// Counts the requests being answered, so that Stop can wait for them.
+struct http_server::state {
+  http_server_options options;
+  http_handler handler;
+  _u_instance instance{};
+  sockaddr_in address{};
+  uint16_t port = 0;
+  std::atomic<bool> stopping = false;
+  bool stopped = false;
+  std::mutex stop_mutex;
+  std::mutex mutex;
+  std::condition_variable drained;
+  unsigned in_progress = 0;
+
+  absl::Status Listen();
+  void Drain();
+  bool Enter();
+  void Leave();
+  http_response Handle(const _u_request* request) const;
+
+  static int OnRequest(const _u_request* request, _u_response* response, void* self);
+  static void OnCompleted(void* self, MHD_Connection* connection, void** context,
+                          MHD_RequestTerminationCode code);
+};
+
+bool http_server::state::Enter() {
+  std::lock_guard lock(mutex);
+  if (stopping) {
+    return false;
+  }
+  ++in_progress;
+  answering = true;
+  return true;
+}
+
+void http_server::state::Leave() {
+  if (!std::exchange(answering, false)) {
+    return;
+  }
+  std::lock_guard lock(mutex);
+  --in_progress;
+  drained.notify_all();
+}
+
+http_response http_server::state::Handle(const _u_request* request) const {
+  if (request->binary_body_length > options.max_body_bytes) {
+    return {.status = kBodyTooLarge, .headers = {}, .body = "body too large\n"};
+  }
+  try {
+    return handler(RequestOf(request));
+  } catch (const std::exception&) {
+    return {.status = kHandlerFailed, .headers = {}, .body = "internal error\n"};
+  } catch (...) {
+    return {.status = kHandlerFailed, .headers = {}, .body = "internal error\n"};
+  }
+}
+
+int http_server::state::OnRequest(const _u_request* request, _u_response* response, void* self) {
+  auto* server = static_cast<state*>(self);
+  if (!server->Enter()) {
+    http_response refusal{
+        .status = kStopping, .headers = {{"connection", "close"}}, .body = "stopping\n"};
+    Answer(refusal, response);
+    return U_CALLBACK_COMPLETE;
+  }
+  http_response answer = server->Handle(request);
+  if (server->stopping) {
+    answer.headers["connection"] = "close";
+  }
+  Answer(answer, response);
+  return U_CALLBACK_COMPLETE;
+}
+
+void http_server::state::OnCompleted(void* self, MHD_Connection* connection, void** context,
+                                     MHD_RequestTerminationCode code) {
+  mhd_request_completed(nullptr, connection, context, code);
+  static_cast<state*>(self)->Leave();
+}
+
+absl::Status http_server::state::Listen() {
+  address.sin_family = AF_INET;
+  address.sin_port = htons(options.port);
+  if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+    return MakeError(http_error::kListenFailed, "not an IPv4 address: " + options.address);
+  }
+  // ulfius refuses port 0; the port that counts is the one inside `address`.
+  constexpr unsigned kPlaceholderPort = 1;
+  unsigned nominal_port = options.port == 0 ? kPlaceholderPort : options.port;
+  if (ulfius_init_instance(&instance, nominal_port, &address, nullptr) != U_OK) {
+    return MakeError(http_error::kListenFailed, "ulfius refused the instance");
+  }
+  // ulfius cuts larger bodies off at this size: one byte over the limit tells them apart.
+  instance.max_post_body_size = options.max_body_bytes + 1;
+  instance.allowed_post_processor = U_POST_PROCESS_NONE;
+  ulfius_set_default_endpoint(&instance, &state::OnRequest, this);
+
+  std::array<MHD_OptionItem, 6> items{{
+      {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&state::OnCompleted), this},
+      {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&ulfius_uri_logger), nullptr},
+      {MHD_OPTION_SOCK_ADDR, 0, &address},
+      {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options.max_connections), nullptr},
+      {MHD_OPTION_CONNECTION_TIMEOUT, kIdleConnectionSeconds, nullptr},
+      {MHD_OPTION_END, 0, nullptr},
+  }};
+  constexpr unsigned kFlags =
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL_INTERNAL_THREAD | MHD_USE_ITC;
+  if (ulfius_start_framework_with_mhd_options(&instance, kFlags, items.data()) != U_OK) {
+    ulfius_clean_instance(&instance);
+    return MakeError(http_error::kListenFailed,
+                     "cannot listen on " + options.address + ":" + std::to_string(options.port));
+  }
+  int listener = MHD_get_daemon_info(instance.mhd_daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
+  // A caller's check that the port is open then costs this process no thread.
+  setsockopt(listener, IPPROTO_TCP, TCP_DEFER_ACCEPT, &kDeferAcceptSeconds,
+             sizeof(kDeferAcceptSeconds));
+  sockaddr_in bound{};
+  socklen_t length = sizeof(bound);
+  VERIFY(getsockname(listener, reinterpret_cast<sockaddr*>(&bound), &length) == 0);
+  port = ntohs(bound.sin_port);
+  return absl::OkStatus();
+}
+
+void http_server::state::Drain() {
+  int listener = MHD_quiesce_daemon(instance.mhd_daemon);
+  {
+    std::unique_lock lock(mutex);
+    stopping = true;
+    drained.wait_for(lock, kDrainLimit, [this] { return in_progress == 0; });
+  }
+  ulfius_stop_framework(&instance);
+  ulfius_clean_instance(&instance);
+  if (listener >= 0) {
+    close(listener);
+  }
+}
+
+absl::StatusOr<std::unique_ptr<http_server>> http_server::Start(http_server_options options,
+                                                                http_handler handler) {
+  InitialiseHttpOnce();
+  auto fresh = std::make_unique<state>();
+  fresh->options = std::move(options);
+  fresh->handler = std::move(handler);
+  absl::Status listening = fresh->Listen();
+  if (!listening.ok()) {
+    return listening;
+  }
+  return std::unique_ptr<http_server>(new http_server(std::move(fresh)));
+}
+
+http_server::http_server(std::unique_ptr<state> state) : state_(std::move(state)) {}
+
+http_server::~http_server() { Stop(); }
+
+uint16_t http_server::port() const { return state_->port; }
+
+void http_server::Stop() {
+  std::lock_guard lock(state_->stop_mutex);
+  if (std::exchange(state_->stopped, true)) {
+    return;
+  }
+  state_->Drain();
+}
+
+}  // namespace wagtail
--- a/libraries/table/table.h
+++ b/libraries/table/table.h
@@ -42,31 +42,31 @@
 };
 
 struct table_row {
-  std::string key;
-  uint64_t revision = 0;             ///< of the transaction that last wrote the row
-  std::optional<std::string> value;  ///< empty when that transaction erased the row
+  std::string key{};
+  uint64_t revision = 0;               ///< of the transaction that last wrote the row
+  std::optional<std::string> value{};  ///< empty when that transaction erased the row
 };
 
 /// Rows under a prefix that changed after a revision, erased rows included.
 struct table_changes {
   uint64_t revision = 0;  ///< of the table when it was read
-  std::vector<table_row> rows;
+  std::vector<table_row> rows{};
 };
 
 struct table_condition {
-  std::string key;
+  std::string key{};
   uint64_t revision = 0;  ///< the row's revision must be this; 0: the row must not exist
 };
 
 struct table_write {
-  std::string key;
-  std::optional<std::string> value;  ///< empty erases the row
+  std::string key{};
+  std::optional<std::string> value{};  ///< empty erases the row
 };
 
 /// All writes take effect together if every condition holds, else none does.
 struct table_transaction {
-  std::vector<table_condition> conditions;
-  std::vector<table_write> writes;
+  std::vector<table_condition> conditions{};
+  std::vector<table_write> writes{};
 };
 
 /// Client of the table. Implementations are safe to call from several threads; calls block.
