--- /dev/null
+++ b/libraries/settings/settings_problem.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wagtail {
+
+/// One value that a text may not have.
+struct settings_problem {
+  std::string path;     ///< JSON pointer, for instance /services/lighting/task_timeout_ms
+  std::string value;    ///< what stands there, shortened; empty when nothing does
+  std::string allowed;  ///< what may stand there
+  bool operator==(const settings_problem&) const = default;
+};
+
+using settings_problems = std::vector<settings_problem>;
+
+/// Longest piece of the user's text that is repeated in a message, in bytes.
+inline constexpr size_t kMaxShownBytes = 80;
+/// Problems listed in one message; the rest are counted.
+inline constexpr size_t kMaxShownProblems = 50;
+
+/// Escapes control characters, and shortens to kMaxShownBytes between characters.
+/// @param text valid UTF-8
+std::string Shown(std::string_view text);
+
+/// @return `path` extended by `key`, escaped as a JSON pointer
+std::string ChildPath(std::string_view path, std::string_view key);
+
+/// @return `file: path: value ...; allowed: ...`
+std::string ToString(const settings_problem& problem, std::string_view file_name);
+
+/// @return one line per problem, at most kMaxShownProblems of them
+std::string ToString(const settings_problems& problems, std::string_view file_name);
+
+}  // namespace wagtail
