--- a/libraries/settings/object_reader.cc
+++ b/libraries/settings/object_reader.cc
@@ -250,6 +250,8 @@
   Note(ChildPath(path_, key), found == object_.end() ? std::string() : ShownValue(*found), allowed);
 }
 
+void object_reader::Add(settings_problem problem) { problems_->push_back(std::move(problem)); }
+
 void object_reader::Finish() {
   for (const auto& [key, value] : object_.items()) {
     if (!asked_.contains(key)) {
--- a/libraries/settings/object_reader.h
+++ b/libraries/settings/object_reader.h
@@ -93,6 +93,9 @@
   /// Notes a problem that the caller found with the value at `key`.
   void Refuse(std::string_view key, std::string_view allowed);
 
+  /// Notes a problem anywhere in the text, for checks across objects.
+  void Add(settings_problem problem);
+
   /// Notes every key that no getter asked for. Called by the hooks' callers for nested objects.
   void Finish();
 
--- a/libraries/settings/settings_text.cc
+++ b/libraries/settings/settings_text.cc
@@ -45,6 +45,31 @@
                                 ": not JSON with comments: ", Shown(ReasonOf(what))));
 }
 
+bool IsUtf8Text(std::string_view line) {
+  try {
+    // The serializer checks what the parser leaves unchecked inside comments.
+    const std::string quoted = json(line).dump();
+    return line.find('\0') == std::string_view::npos;
+  } catch (const json::type_error& /*error*/) {
+    return false;
+  }
+}
+
+/// Refuses bytes that the parser would skip or stop at, but that a copy of the text may not hold.
+absl::Status CheckBytes(std::string_view text, std::string_view file_name) {
+  size_t line_number = 1;
+  for (size_t start = 0; start <= text.size(); ++line_number) {
+    const size_t end = std::min(text.find('\n', start), text.size());
+    if (!IsUtf8Text(text.substr(start, end - start))) {
+      return MakeError(settings_error::kSyntax,
+                       absl::StrCat(std::string(file_name), ":", line_number,
+                                    ":1: not UTF-8 text without NUL characters"));
+    }
+    start = end + 1;
+  }
+  return absl::OkStatus();
+}
+
 absl::StatusOr<json> ParseJson(std::string_view text, std::string_view file_name,
                                duplicate_key_finder* duplicates) {
   const auto see = [duplicates](int /*depth*/, json::parse_event_t event, json& parsed) {
@@ -73,6 +98,7 @@
                      absl::StrCat(std::string(file_name), ": /: ", text.size(),
                                   " bytes are refused; allowed: at most ", kMaxSettingsBytes));
   }
+  TRY(CheckBytes(text, file_name));
   duplicate_key_finder duplicates;
   const json document = TRY(ParseJson(text, file_name, &duplicates));
   settings_problems problems = duplicates.problems();
--- a/tests/settings/settings_text_test.cc
+++ b/tests/settings/settings_text_test.cc
@@ -87,7 +87,8 @@
     {"{\n  \"name\": \"a\",\n  \"slots\" 3\n}", "sample.jsonc:3:11: not JSON with comments"},
     {"", "sample.jsonc:1:1: not JSON"},
     {R"({"name": "a", "slots": 1e999})", "sample.jsonc:1:1: "},
-    {"{\"name\": \"\xff\"}", "not JSON with comments"},
+    {"{\"name\": \"\xff\"}", "sample.jsonc:1:1: not UTF-8"},
+    {"{\"name\": \"a\"}\n// \xff", "sample.jsonc:2:1: not UTF-8"},
 };
 
 }  // namespace
