Stand in for the platform and for targets

stand_in_platform wraps the in-memory table and an object store with outage, slowness, rate limits and answers lost after the effect. stand_in_target runs tasks by waiting, with uneven speed, failures and stalls, counts the starts of each task, and announces itself again at an interval so that a restarted daemon learns of it.

--- /dev/null
+++ b/tests/stand_ins/platform/main.cc
@@ -0,0 +1,18 @@
+#include "base/try.h"
+#include "tests/stand_ins/platform/platform.h"
+
+namespace wagtail {
+namespace {
+
+absl::StatusOr<std::unique_ptr<stand_in>> NewPlatform(object_reader reader) {
+  platform_settings settings = TRY(platform_settings::From(std::move(reader)));
+  return std::make_unique<platform>(std::move(settings));
+}
+
+}  // namespace
+}  // namespace wagtail
+
+int main(int argc, char** argv) {
+  return wagtail::RunStandIn(argc, argv, "Stands in for the platform's table and object store.",
+                             wagtail::NewPlatform);
+}
--- /dev/null
+++ b/tests/stand_ins/support/stand_in_program.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "http/http_message.h"
+#include "http/http_server.h"
+#include "tests/stand_ins/support/object_reader.h"
+
+/// @file
+/// What every stand-in program shares: command line, settings file, HTTP server, graceful end.
+
+namespace wagtail {
+
+/// One stand-in, served by RunStandIn.
+class stand_in {
+ public:
+  virtual ~stand_in() = default;
+  /// @return where to listen, and the limits
+  virtual http_server_options server_options() const = 0;
+  /// Answers one request; called from several threads.
+  virtual http_response Handle(const http_request& request) = 0;
+  /// Called once, when the server listens on `port`.
+  virtual void OnListening(uint16_t port) = 0;
+  /// Called once, before the server stops: every request still waiting must end.
+  virtual void OnStopping() = 0;
+};
+
+/// Builds a stand-in from its settings.
+using stand_in_factory =
+    std::function<absl::StatusOr<std::unique_ptr<stand_in>>(object_reader settings)>;
+
+/// Runs a stand-in until SIGTERM or SIGINT. Prints `listening PORT` once it serves.
+/// @return the exit code: 0 done, 1 failed, 2 usage
+int RunStandIn(int argc, char** argv, const std::string& description,
+               const stand_in_factory& factory);
+
+/// @return an answer with a JSON body
+http_response JsonAnswer(int status, const nlohmann::json& body);
+/// @return an answer that names an error
+http_response ErrorAnswer(int status, std::string_view error);
+
+}  // namespace wagtail
--- /dev/null
+++ b/tests/stand_ins/target/announcer.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <stop_token>
+#include <thread>
+
+#include "tests/stand_ins/target/target_settings.h"
+
+namespace wagtail {
+
+/// Announces a target to the daemon beside it until accepted, and again at every interval, so that
+/// a restarted daemon learns of it.
+class announcer {
+ public:
+  /// @param settings what to announce
+  /// @param port where the target listens
+  announcer(const target_settings& settings, uint16_t port);
+  ~announcer();
+  announcer(const announcer&) = delete;
+  announcer& operator=(const announcer&) = delete;
+
+  /// @return announcements that the daemon accepted
+  uint64_t accepted() const { return accepted_; }
+
+ private:
+  void Run(const std::stop_token& stop);
+  bool Announce() const;
+
+  const target_settings settings_;
+  const uint16_t port_;
+  std::atomic<uint64_t> accepted_ = 0;
+  std::mutex mutex_;
+  std::condition_variable_any wake_;
+  std::jthread thread_;
+};
+
+}  // namespace wagtail
