Run the whole path thinly as separate processes

Cause: nothing ran end to end. Change: wire messages, start ledger beside each target, dispatcher and recovery of an entry, links with settling, job ids that name their owner, callers' and operators' HTTP, both daemons. Not yet: quotas, outage of the table, voters, metrics of an entry, graceful limits.

--- a/libraries/base/identifiers.h
+++ b/libraries/base/identifiers.h
@@ -21,6 +21,7 @@
 struct target_incarnation {
   std::string target;   ///< name of the target, stable over restarts
   uint64_t number = 0;  ///< 1 for the first life
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the defaulted comparison
   auto operator<=>(const target_incarnation&) const = default;
   template <typename H>
   friend H AbslHashValue(H state, const target_incarnation& value) {
--- /dev/null
+++ b/libraries/entry/configuration_controller.cc
@@ -0,0 +1,133 @@
+#include "entry/configuration_controller.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_format.h"
+#include "base/try.h"
+#include "base/verify.h"
+#include "logging/logging.h"
+
+namespace wagtail {
+
+namespace {
+
+struct stored_configuration {
+  configuration_record record;
+  uint64_t revision = 0;
+};
+
+std::string AuditKey(uint64_t version) {
+  return absl::StrFormat("%s%020u", std::string(kAuditPrefix), version);
+}
+
+std::string ChangeKey(std::string_view change_id) {
+  return std::string(kChangePrefix) + std::string(change_id);
+}
+
+absl::StatusOr<stored_configuration> ReadConfiguration(table& table) {
+  table_changes changes = TRY(table.Read(kConfigurationKey, 0));
+  auto row = std::ranges::find(changes.rows, kConfigurationKey, &table_row::key);
+  if (row == changes.rows.end() || !row->value.has_value()) {
+    return stored_configuration{};
+  }
+  return stored_configuration{.record = TRY(ParseConfigurationRecord(*row->value)),
+                              .revision = row->revision};
+}
+
+absl::StatusOr<std::vector<audit_record>> ReadAudit(table& table) {
+  table_changes changes = TRY(table.Read(kAuditPrefix, 0));
+  std::vector<audit_record> trail;
+  for (const table_row& row : changes.rows) {
+    if (row.value.has_value()) {
+      trail.push_back(TRY(ParseAuditRecord(*row.value)));
+    }
+  }
+  std::ranges::sort(trail, {}, &audit_record::to_version);
+  return trail;
+}
+
+}  // namespace
+
+void configuration_controller::OnRead(instant read_started, const std::optional<table_row>& row) {
+  if (row.has_value() && row->value.has_value()) {
+    absl::StatusOr<configuration_record> record = ParseConfigurationRecord(*row->value);
+    if (!record.ok()) {
+      // The row says that something newer exists; without it nothing is fresh.
+      LogFact(log_level::kError, "configuration_row_unreadable",
+              {{"error", MessageOf(record.status())}});
+      return;
+    }
+    TakeOver(*record, row->revision);
+  }
+  evidence_.OnDirectRead(read_started, revision_);
+}
+
+void configuration_controller::TakeOver(const configuration_record& record, uint64_t revision) {
+  if (revision <= revision_) {
+    return;
+  }
+  absl::StatusOr<configuration> parsed = ConfigurationOf(record);
+  if (!parsed.ok()) {
+    LogFact(log_level::kError, "configuration_unreadable", {{"error", MessageOf(parsed.status())}});
+    return;
+  }
+  VERIFY(parsed->version > current_.version);
+  current_ = *std::move(parsed);
+  record_ = record;
+  revision_ = revision;
+  LogFact(log_level::kInfo, "configuration_taken_over",
+          {{"version", std::to_string(current_.version)}, {"change", record.change_id}});
+  on_change_(current_);
+}
+
+absl::StatusOr<audit_record> CommitChange(table& table, configuration_change change,
+                                          std::string_view when) {
+  absl::StatusOr<audit_record> earlier = FindChange(table, change.change_id);
+  if (earlier.ok() || earlier.status().code() != absl::StatusCode::kNotFound) {
+    return earlier;
+  }
+  stored_configuration present = TRY(ReadConfiguration(table));
+  if (change.base_version == 0) {
+    change.base_version = present.record.version;
+  }
+  configuration_record next = TRY(Apply(present.record, change));
+  audit_record audit = AuditOfCommitted(change, when);
+  table_transaction write;
+  write.conditions.push_back({.key = std::string(kConfigurationKey), .revision = present.revision});
+  write.writes.push_back({.key = std::string(kConfigurationKey), .value = Serialize(next)});
+  write.writes.push_back({.key = AuditKey(next.version), .value = Serialize(audit)});
+  write.writes.push_back({.key = ChangeKey(change.change_id), .value = Serialize(audit)});
+  absl::StatusOr<uint64_t> committed = table.Commit(write);
+  if (committed.ok()) {
+    return audit;
+  }
+  if (ErrorOf<table_error>(committed.status()) == table_error::kOutcomeUnknown) {
+    absl::StatusOr<audit_record> found = FindChange(table, change.change_id);
+    if (found.ok()) {
+      return found;
+    }
+  }
+  return committed.status();
+}
+
+absl::StatusOr<audit_record> FindChange(table& table, std::string_view change_id) {
+  std::string key = ChangeKey(change_id);
+  table_changes changes = TRY(table.Read(key, 0));
+  auto row = std::ranges::find(changes.rows, key, &table_row::key);
+  if (row == changes.rows.end() || !row->value.has_value()) {
+    return absl::NotFoundError("no such change was committed");
+  }
+  return ParseAuditRecord(*row->value);
+}
+
+absl::StatusOr<std::vector<audit_record>> ReadAuditTrail(table& table, uint64_t after_version) {
+  std::vector<audit_record> trail = TRY(ReadAudit(table));
+  std::erase_if(trail, [after_version](const audit_record& record) {
+    return record.to_version <= after_version;
+  });
+  return trail;
+}
+
+}  // namespace wagtail
--- /dev/null
+++ b/libraries/entry/entry_daemon.cc
@@ -0,0 +1,304 @@
+#include "entry/entry_daemon.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <future>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "entry/answer_json.h"
+#include "entry/entry_context.h"
+#include "entry/entry_gate.h"
+#include "entry/job_api.h"
+#include "entry/operator_api.h"
+#include "entry/table_watcher.h"
+#include "http/http_server.h"
+#include "logging/logging.h"
+#include "rpc/require.h"
+#include "security/digest.h"
+
+namespace wagtail {
+
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kServiceUnavailable = 503;
+constexpr duration kStopPoll = std::chrono::milliseconds(10);
+
+// The listening side of the RPC system, made and ended on the loop's thread.
+class peer_server {
+ public:
+  peer_server(kj::Own<kj::ConnectionReceiver> receiver, wire::EntryGate::Client gate)
+      : receiver_(kj::mv(receiver)),
+        server_(kj::mv(gate)),
+        listening_(server_.listen(*receiver_).eagerlyEvaluate([](kj::Exception&& /*error*/) {})) {}
+  uint16_t port() { return static_cast<uint16_t>(receiver_->getPort()); }
+
+ private:
+  kj::Own<kj::ConnectionReceiver> receiver_;
+  capnp::TwoPartyServer server_;
+  kj::Promise<void> listening_;  // refers to both of the above
+};
+
+}  // namespace
+
+/// Members in the order in which they depend on one another.
+struct entry_daemon::parts {
+  parts(entry_daemon_options given, table& platform_table);
+
+  absl::Status ListenForPeers();
+  absl::Status ListenForCallers();
+  void OnRound(const table_round& round);
+  void PublishView();
+  target_policy PolicyFor(const target_row& row, const target_report& report);
+  kj::Promise<fence_report> Fence(const target_incarnation& target, const job_key& job,
+                                  uint64_t minted_uptime_ms);
+  http_response Route(const http_request& request);
+  http_response RouteJobs(const http_request& request);
+
+  entry_daemon_options options;
+  table& platform_table;
+  entry_incarnation self{.nonce = RandomNonce64()};
+  job_id_codec ids;
+  metrics_registry metrics;
+  snapshot_cell<entry_view> view{std::make_unique<const entry_view>()};
+  std::atomic<uint64_t> next_sequence = 0;
+  std::atomic<uint64_t> registry_revision = 0;
+  bool stopping = false;
+  uint16_t rpc_port = 0;
+  event_loop loop;
+  configuration_controller configuration;
+  target_registry targets;
+  std::unique_ptr<dispatch_controller> dispatch;
+  std::unique_ptr<peer_links> peers;
+  std::unique_ptr<recovery_controller> recoveries;
+  std::optional<entry_context> context;
+  std::unique_ptr<job_service> jobs;
+  std::unique_ptr<job_api> callers;
+  std::unique_ptr<operator_api> operators;
+  std::unique_ptr<peer_server> server;
+  std::unique_ptr<table_watcher> watcher;
+  std::unique_ptr<http_server> http;
+};
+
+entry_daemon::parts::parts(entry_daemon_options given, table& platform_table)
+    : options(std::move(given)),
+      platform_table(platform_table),
+      ids(options.cluster_key),
+      configuration([this](const wagtail::configuration& current) {
+        dispatch->ApplyConfiguration(current);
+        PublishView();
+      }) {
+  loop.Run([this] {
+    dispatch = std::make_unique<dispatch_controller>(
+        loop,
+        dispatch_controller_options{.dispatcher = options.dispatcher,
+                                    .cluster_key = options.cluster_key,
+                                    .self = self,
+                                    .self_name = options.name},
+        MakePlacement(options.placement),
+        [this](const target_row& row, const target_report& report) {
+          return PolicyFor(row, report);
+        });
+    peers = std::make_unique<peer_links>(
+        loop, peer_links_options{.cluster_key = options.cluster_key, .self = self});
+    recoveries = std::make_unique<recovery_controller>(
+        loop, [this](const target_incarnation& target, const job_key& job,
+                     uint64_t minted_uptime_ms) { return Fence(target, job, minted_uptime_ms); });
+  });
+}
+
+absl::Status entry_daemon::parts::ListenForPeers() {
+  std::promise<absl::Status> listening;
+  std::string address = absl::StrCat(options.rpc_address, ":", options.rpc_port);
+  loop.Post([this, address, &listening] {
+    auto listen = loop.provider().getNetwork().parseAddress(address).then(
+        [this, &listening](kj::Own<kj::NetworkAddress> where) {
+          auto receiver = where->listen();
+          rpc_port = static_cast<uint16_t>(receiver->getPort());
+          context.emplace(
+              entry_context{.self = self,
+                            .rpc_address = absl::StrCat(options.rpc_address, ":", rpc_port),
+                            .loop = loop,
+                            .platform_table = platform_table,
+                            .ids = ids,
+                            .metrics = metrics,
+                            .view = view,
+                            .next_sequence = next_sequence,
+                            .registry_revision = registry_revision,
+                            .dispatch = *dispatch,
+                            .configuration = configuration,
+                            .targets = targets,
+                            .peers = *peers,
+                            .recoveries = *recoveries});
+          jobs = std::make_unique<job_service>(*context);
+          server = std::make_unique<peer_server>(
+              kj::mv(receiver), MakeEntryGate(options.cluster_key, *context, *jobs));
+          listening.set_value(absl::OkStatus());
+        });
+    loop.Detach(kj::mv(listen), [&listening](kj::Exception&& error) {
+      listening.set_value(absl::UnavailableError(error.getDescription().cStr()));
+    });
+  });
+  return listening.get_future().get();
+}
+
+absl::Status entry_daemon::parts::ListenForCallers() {
+  callers = std::make_unique<job_api>(*context, *jobs);
+  operators = std::make_unique<operator_api>(*context, *jobs, options.bootstrap_token_digest);
+  absl::StatusOr<std::unique_ptr<http_server>> started =
+      http_server::Start({.address = options.http_address, .port = options.http_port},
+                         [this](const http_request& request) { return Route(request); });
+  if (!started.ok()) {
+    return started.status();
+  }
+  http = *std::move(started);
+  return absl::OkStatus();
+}
+
+void entry_daemon::parts::OnRound(const table_round& round) {
+  if (!round.succeeded) {
+    LogFact(log_level::kWarning, "table_read_failed");
+    return;
+  }
+  std::optional<table_row> configuration_row;
+  for (const table_row& row : round.rows) {
+    if (row.key == kConfigurationKey) {
+      configuration_row = row;
+    }
+  }
+  configuration.OnRead(round.started, configuration_row);
+  for (const target_event& event :
+       targets.OnChanges({.revision = round.revision, .rows = round.rows})) {
+    switch (event.kind) {
+      case row_event_kind::kAdded:
+      case row_event_kind::kReplaced:
+      case row_event_kind::kUpdated:
+        dispatch->OnTargetRow(*event.row, targets.Find(event.name)->revision);
+        break;
+      case row_event_kind::kRemoved:
+        dispatch->OnTargetErased(event.name);
+        break;
+      case row_event_kind::kMalformed:
+        LogFact(log_level::kError, "target_row_unreadable",
+                {{"target", event.name}, {"error", event.message}});
+        break;
+    }
+  }
+  registry_revision.store(targets.revision());
+}
+
+void entry_daemon::parts::PublishView() {
+  view.Publish(
+      std::make_unique<const entry_view>(MakeEntryView(configuration.current(), stopping)));
+}
+
+target_policy entry_daemon::parts::PolicyFor(const target_row& row,
+                                             const target_report& /*report*/) {
+  return {.configuration_version = configuration.revision(),
+          .evidence_age = configuration.evidence().Age(MonotonicNow()),
+          .admitted = configuration.current().Admits(row.incarnation.target, row.failure_domain)};
+}
+
+kj::Promise<fence_report> entry_daemon::parts::Fence(const target_incarnation& target,
+                                                     const job_key& job,
+                                                     uint64_t minted_uptime_ms) {
+  target_link* link = dispatch->LinkTo(target.target);
+  Require(link != nullptr && link->options().target == target, "no link to that incarnation");
+  return link->Fence(job, minted_uptime_ms);
+}
+
+http_response entry_daemon::parts::Route(const http_request& request) {
+  std::string_view path = request.path;
+  if (path.starts_with("/v1/job")) {
+    return RouteJobs(request);
+  }
+  if (path.starts_with("/v1/operator/")) {
+    return operators->Handle(request);
+  }
+  if (path == "/healthz") {
+    return RespondJson(R"({"alive":true})");
+  }
+  if (path == "/readyz") {
+    bool is_ready = view.Read([](const entry_view& seen) { return seen.is_ready(); });
+    return is_ready ? RespondJson(R"({"ready":true})")
+                    : RespondUnknown(kServiceUnavailable, "not_ready", "takes no work now");
+  }
+  if (path == "/metrics") {
+    http_response response{.status = 200, .headers = {}, .body = metrics.Write()};
+    response.headers["content-type"] = "text/plain; version=0.0.4";
+    return response;
+  }
+  return RespondUnknown(kNotFound, "no_such_endpoint", path);
+}
+
+http_response entry_daemon::parts::RouteJobs(const http_request& request) {
+  std::string_view path = request.path;
+  if (request.method == "POST" && path == "/v1/job-ids") {
+    return callers->MintIds(request);
+  }
+  if (request.method == "PUT" && path.starts_with("/v1/jobs/")) {
+    return callers->SubmitJob(request);
+  }
+  if (request.method == "POST" && path.starts_with("/v1/jobs/") && path.ends_with("/cancel")) {
+    return callers->CancelJob(request);
+  }
+  return RespondUnknown(kNotFound, "no_such_endpoint", path);
+}
+
+entry_daemon::entry_daemon(entry_daemon_options options, table& table)
+    : parts_(std::make_unique<parts>(std::move(options), table)) {}
+
+entry_daemon::~entry_daemon() { Stop(); }
+
+absl::Status entry_daemon::Start() {
+  if (absl::Status listening = parts_->ListenForPeers(); !listening.ok()) {
+    return listening;
+  }
+  if (absl::Status listening = parts_->ListenForCallers(); !listening.ok()) {
+    return listening;
+  }
+  parts_->watcher =
+      std::make_unique<table_watcher>(parts_->platform_table, parts_->options.table_interval,
+                                      [parts = parts_.get()](const table_round& round) {
+                                        parts->loop.Post([parts, round] { parts->OnRound(round); });
+                                      });
+  return absl::OkStatus();
+}
+
+void entry_daemon::Stop() {
+  if (parts_ == nullptr) {
+    return;
+  }
+  parts& all = *parts_;
+  all.loop.Run([&all] {
+    all.stopping = true;
+    all.PublishView();
+    all.dispatch->BeginStop();
+  });
+  instant limit = MonotonicNow() + all.options.stop_limit;
+  size_t open = 1;
+  while (open > 0 && MonotonicNow() < limit) {
+    all.loop.Run([&all, &open] { open = all.dispatch->decisions().jobs_in_progress(); });
+    std::this_thread::sleep_for(kStopPoll);
+  }
+  all.loop.Run([&all] { all.dispatch->EndAll("stopping"); });
+  if (all.http != nullptr) {
+    all.http->Stop();
+  }
+  all.watcher.reset();
+  all.loop.Run([&all] {
+    all.server.reset();
+    all.peers.reset();
+    all.dispatch.reset();
+  });
+  all.loop.Stop();
+  parts_.reset();
+}
+
+uint16_t entry_daemon::http_port() const { return parts_->http->port(); }
+uint16_t entry_daemon::rpc_port() const { return parts_->rpc_port; }
+
+}  // namespace wagtail
--- /dev/null
+++ b/libraries/entry/entry_daemon.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "base/time.h"
+#include "dispatch/dispatcher.h"
+#include "metrics/metrics_registry.h"
+#include "placement/target_pool.h"
+#include "table/table.h"
+
+/// @file
+/// The process that callers and operators talk to.
+
+namespace wagtail {
+
+struct entry_daemon_options {
+  std::string name;
+  std::string http_address = "127.0.0.1";
+  uint16_t http_port = 0;  ///< 0 takes an ephemeral port
+  std::string rpc_address = "127.0.0.1";
+  uint16_t rpc_port = 0;
+  std::string cluster_key;
+  std::string bootstrap_token_digest;  ///< operator's token until a configuration is accepted
+  dispatcher_options dispatcher;
+  placement_options placement;
+  duration table_interval = std::chrono::milliseconds(500);
+  duration stop_limit = std::chrono::seconds(20);
+};
+
+/// Owns the parts of an entry and its threads.
+class entry_daemon {
+ public:
+  /// @param table outlives the daemon
+  entry_daemon(entry_daemon_options options, table& table);
+  ~entry_daemon();
+  entry_daemon(const entry_daemon&) = delete;
+  entry_daemon& operator=(const entry_daemon&) = delete;
+
+  /// Listens for other entries, callers and operators.
+  absl::Status Start();
+  /// Takes no more work, ends jobs of which nothing started, waits for the others within the stop
+  /// limit, and ends.
+  void Stop();
+  uint16_t http_port() const;
+  uint16_t rpc_port() const;
+
+ private:
+  struct parts;
+  std::unique_ptr<parts> parts_;
+};
+
+}  // namespace wagtail
--- /dev/null
+++ b/libraries/entry/entry_gate.cc
@@ -0,0 +1,138 @@
+#include "entry/entry_gate.h"
+
+#include <memory>
+#include <utility>
+
+#include "entry/answer_json.h"
+#include "rpc/handshake.h"
+#include "rpc/require.h"
+#include "rpc/wire_codec.h"
+
+namespace wagtail {
+
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kUnprocessable = 422;
+
+// Turns one respond hook into one promise.
+struct pending_response {
+  kj::Promise<std::shared_ptr<http_response>> promise;
+  respond_hook respond;
+};
+
+pending_response MakePending() {
+  using response_pointer = std::shared_ptr<http_response>;
+  auto pair = kj::newPromiseAndFulfiller<response_pointer>();
+  auto fulfiller =
+      std::make_shared<kj::Own<kj::PromiseFulfiller<response_pointer>>>(kj::mv(pair.fulfiller));
+  return {.promise = kj::mv(pair.promise), .respond = [fulfiller](http_response response) {
+            (*fulfiller)->fulfill(std::make_shared<http_response>(std::move(response)));
+          }};
+}
+
+class entry_peer final : public wire::EntryPeer::Server {
+ public:
+  entry_peer(entry_context& context, job_service& jobs) : context_(context), jobs_(jobs) {}
+
+ protected:
+  kj::Promise<void> submit(SubmitContext context) override {  // NOLINT: generated name
+    auto params = context.getParams();
+    checked_submission submission;
+    submission.id_text = params.getJobId().cStr();
+    submission.raw_body = ToText(params.getBody());
+    pending_response pending = MakePending();
+    absl::StatusOr<job_id> id = context_.ids.Decode(submission.id_text);
+    absl::StatusOr<job_body> body = ParseJobBody(submission.raw_body);
+    if (!id.ok() || id->team != params.getTeam().cStr() || id->key.owner != context_.self) {
+      pending.respond(RespondUnknown(kNotFound, "unknown_job", "no such job here"));
+    } else if (!body.ok()) {
+      pending.respond(RespondWith(
+          {.status = kUnprocessable, .error = "bad_body", .message = MessageOf(body.status())}));
+    } else {
+      submission.id = *std::move(id);
+      submission.body = *std::move(body);
+      jobs_.SubmitOwned(std::move(submission), pending.respond);
+    }
+    return pending.promise.then([context](auto&& response) mutable {
+      context.getResults().setStatus(static_cast<uint16_t>(response->status));
+      context.getResults().setAnswer(ToData(response->body));
+    });
+  }
+
+  kj::Promise<void> cancel(CancelContext context) override {  // NOLINT: generated name
+    auto params = context.getParams();
+    pending_response pending = MakePending();
+    absl::StatusOr<job_id> id = context_.ids.Decode(params.getJobId().cStr());
+    if (!id.ok() || id->team != params.getTeam().cStr() || id->key.owner != context_.self) {
+      pending.respond(RespondUnknown(kNotFound, "unknown_job", "no such job here"));
+    } else {
+      jobs_.CancelOwned(*id, pending.respond);
+    }
+    return pending.promise.then([context](auto&& response) mutable {
+      context.getResults().setStatus(static_cast<uint16_t>(response->status));
+      context.getResults().setAnswer(ToData(response->body));
+    });
+  }
+
+  kj::Promise<void> evidence(EvidenceContext context) override {  // NOLINT: generated name
+    auto results = context.getResults();
+    std::optional<duration> age = context_.configuration.evidence().Age(MonotonicNow());
+    results.setVersion(context_.configuration.revision());
+    results.setHasEvidence(age.has_value());
+    results.setAgeMs(static_cast<uint64_t>(ToMilliseconds(age.value_or(duration::zero())) + 1));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> ping(PingContext /*context*/) override {  // NOLINT: generated name
+    return kj::READY_NOW;
+  }
+
+ private:
+  entry_context& context_;
+  job_service& jobs_;
+};
+
+class entry_gate final : public wire::EntryGate::Server {
+ public:
+  entry_gate(std::string cluster_key, entry_context& context, job_service& jobs)
+      : cluster_key_(std::move(cluster_key)),
+        context_(context),
+        jobs_(jobs),
+        nonce_(RandomNonce64()) {}
+
+ protected:
+  kj::Promise<void> challenge(ChallengeContext context) override {  // NOLINT: generated name
+    context.getResults().setNonce(nonce_);
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> enter(EnterContext context) override {  // NOLINT: generated name
+    auto params = context.getParams();
+    uint64_t caller = params.getEntryNonce();
+    Require(IsHandshakeProof(ToText(params.getProof()), cluster_key_, handshake_side::kCaller,
+                             nonce_, caller),
+            "handshake refused");
+    auto results = context.getResults();
+    results.setPeer(kj::heap<entry_peer>(context_, jobs_));
+    results.setNonce(context_.self.nonce);
+    results.setProof(
+        ToData(HandshakeProof(cluster_key_, handshake_side::kListener, nonce_, caller)));
+    return kj::READY_NOW;
+  }
+
+ private:
+  std::string cluster_key_;
+  entry_context& context_;
+  job_service& jobs_;
+  uint64_t nonce_;
+};
+
+}  // namespace
+
+wire::EntryGate::Client MakeEntryGate(std::string cluster_key, entry_context& context,
+                                      job_service& jobs) {
+  return kj::heap<entry_gate>(std::move(cluster_key), context, jobs);
+}
+
+}  // namespace wagtail
--- /dev/null
+++ b/libraries/entry/entry_view.cc
@@ -0,0 +1,17 @@
+#include "entry/entry_view.h"
+
+namespace wagtail {
+
+entry_view MakeEntryView(const configuration& current, bool stopping) {
+  entry_view view{
+      .current = current, .team_of_token = {}, .operator_of_token = {}, .stopping = stopping};
+  for (const auto& [name, team] : current.teams) {
+    view.team_of_token[team.token_digest] = name;
+  }
+  for (const auto& [name, someone] : current.operators) {
+    view.operator_of_token[someone.token_digest] = name;
+  }
+  return view;
+}
+
+}  // namespace wagtail
--- /dev/null
+++ b/libraries/entry/operator_api.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "entry/entry_context.h"
+#include "entry/job_service.h"
+#include "http/http_message.h"
+
+namespace wagtail {
+
+/// Answers operators' requests; safe to call from several threads.
+class operator_api {
+ public:
+  /// @param context and jobs outlive this object
+  /// @param bootstrap_token_digest SHA-256 of the token that is an operator's until the first
+  ///   configuration has been accepted; empty for none
+  operator_api(entry_context& context, job_service& jobs, std::string bootstrap_token_digest);
+
+  /// Any request under /v1/operator/.
+  http_response Handle(const http_request& request);
+
+ private:
+  std::optional<std::string> Authenticate(const http_request& request) const;
+  http_response ShowConfiguration();
+  http_response ChangeConfiguration(const http_request& request, const std::string& author);
+  http_response ShowChange(std::string_view change_id);
+  http_response ShowAudit(const http_request& request);
+  http_response ShowStatus();
+  http_response ShowTargets();
+  http_response ShowJobs();
+  http_response CancelJob(std::string_view id_text);
+
+  entry_context& context_;
+  job_service& jobs_;
+  std::string bootstrap_token_digest_;
+};
+
+}  // namespace wagtail
--- a/libraries/membership/possible_places.cc
+++ b/libraries/membership/possible_places.cc
@@ -17,7 +17,7 @@
     return place::kNone;  // a target's service never changes
   }
   if (minted_at >= record.revision) {
-    bool announced = record.row->state == target_state::kAnnounced;
+    bool announced = record.row->state == announcement_state::kAnnounced;
     return announced ? place::kPresent : place::kNone;
   }
   bool is_first_row = record.row->first_revision == 0;
--- a/libraries/membership/target_registry.h
+++ b/libraries/membership/target_registry.h
@@ -16,7 +16,9 @@
   static absl::StatusOr<target_row> Parse(std::string_view key, std::string_view value) {
     return ParseTargetRow(key, value);
   }
-  static bool IsPresent(const target_row& row) { return row.state == target_state::kAnnounced; }
+  static bool IsPresent(const target_row& row) {
+    return row.state == announcement_state::kAnnounced;
+  }
 };
 
 using target_registry = row_registry<target_row>;
--- a/libraries/membership/target_row.cc
+++ b/libraries/membership/target_row.cc
@@ -17,13 +17,13 @@
 constexpr std::string_view kAnnouncedText = "announced";
 constexpr std::string_view kRetiredText = "retired";
 
-absl::StatusOr<target_state> ReadState(const nlohmann::json& row) {
+absl::StatusOr<announcement_state> ReadState(const nlohmann::json& row) {
   std::string text = TRY(ReadText(row, "state"));
   if (text == kAnnouncedText) {
-    return target_state::kAnnounced;
+    return announcement_state::kAnnounced;
   }
   if (text == kRetiredText) {
-    return target_state::kRetired;
+    return announcement_state::kRetired;
   }
   return MakeError(membership_error::kBadRow, "unknown state of a target: " + text);
 }
@@ -32,7 +32,7 @@
   if (row.incarnation.number == 0 || row.slots == 0) {
     return MakeError(membership_error::kBadRow, "incarnation and slots start at 1");
   }
-  bool is_first = row.incarnation.number == 1 && row.state == target_state::kAnnounced;
+  bool is_first = row.incarnation.number == 1 && row.state == announcement_state::kAnnounced;
   if (is_first != (row.first_revision == 0) || row.first_revision > row.previous_revision) {
     return MakeError(membership_error::kBadRow, "revisions don't fit the incarnation");
   }
@@ -65,7 +65,7 @@
 std::string TargetKey(std::string_view target) { return std::string(kTargetPrefix).append(target); }
 
 std::string Serialise(const target_row& row) {
-  auto state = row.state == target_state::kAnnounced ? kAnnouncedText : kRetiredText;
+  auto state = row.state == announcement_state::kAnnounced ? kAnnouncedText : kRetiredText;
   return nlohmann::json{{"target", row.incarnation.target},
                         {"incarnation", row.incarnation.number},
                         {"service", row.service},
@@ -94,7 +94,7 @@
 absl::StatusOr<target_row> NextAnnouncement(const target_row& wanted,
                                             const std::optional<recorded_target_row>& previous) {
   target_row result = wanted;
-  result.state = target_state::kAnnounced;
+  result.state = announcement_state::kAnnounced;
   result.incarnation.number = 1;
   result.first_revision = 0;
   result.previous_revision = 0;
@@ -112,9 +112,9 @@
 }
 
 target_row Retirement(const recorded_target_row& announced) {
-  VERIFY(announced.row.state == target_state::kAnnounced);
+  VERIFY(announced.row.state == announcement_state::kAnnounced);
   target_row result = announced.row;
-  result.state = target_state::kRetired;
+  result.state = announcement_state::kRetired;
   result.first_revision = FirstRevision(announced);
   result.previous_revision = announced.revision;
   return result;
--- a/libraries/membership/target_row.h
+++ b/libraries/membership/target_row.h
@@ -20,7 +20,7 @@
 /// Prefix of the keys of target rows.
 inline constexpr std::string_view kTargetPrefix = "target/";
 
-enum class target_state { kAnnounced, kRetired };
+enum class announcement_state { kAnnounced, kRetired };
 
 /// Value of the row `target/NAME`.
 struct target_row {
@@ -32,7 +32,7 @@
   uint32_t cores = 0;
   uint32_t memory_mb = 0;
   std::string accelerator;  ///< empty for none
-  target_state state = target_state::kAnnounced;
+  announcement_state state = announcement_state::kAnnounced;
   uint64_t first_revision = 0;     ///< table revision of the name's first row; 0: this is it
   uint64_t previous_revision = 0;  ///< table revision of the row overwritten; 0: none
   bool operator==(const target_row&) const = default;
--- /dev/null
+++ b/libraries/rpc/require.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <kj/exception.h>
+
+namespace wagtail {
+
+/// Fails the RPC call or promise under way unless `condition` holds.
+/// @param what told to the other end
+inline void Require(bool condition, const char* what) {
+  if (!condition) {
+    kj::throwFatalException(
+        kj::Exception(kj::Exception::Type::FAILED, __FILE__, __LINE__, kj::heapString(what)));
+  }
+}
+
+}  // namespace wagtail
--- /dev/null
+++ b/libraries/target/target_daemon.cc
@@ -0,0 +1,237 @@
+#include "target/target_daemon.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <future>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/verify.h"
+#include "rpc/require.h"
+
+namespace wagtail {
+
+namespace {
+
+constexpr duration kStopPoll = std::chrono::milliseconds(10);
+constexpr uint32_t kMaxSlots = 256;
+
+}  // namespace
+
+/// The listening side of the RPC system, made and ended on the loop's thread.
+class target_daemon::rpc_server {
+ public:
+  rpc_server(kj::Own<kj::ConnectionReceiver> receiver, wire::TargetGate::Client gate)
+      : receiver_(kj::mv(receiver)),
+        server_(kj::mv(gate)),
+        listening_(server_.listen(*receiver_).eagerlyEvaluate([](kj::Exception&& /*error*/) {})) {}
+  uint16_t port() { return static_cast<uint16_t>(receiver_->getPort()); }
+
+ private:
+  kj::Own<kj::ConnectionReceiver> receiver_;
+  capnp::TwoPartyServer server_;
+  kj::Promise<void> listening_;  // refers to both of the above
+};
+
+target_daemon::target_daemon(target_daemon_options options, table& table)
+    : options_(std::move(options)),
+      table_(table),
+      hooks_(MakeHooks()),
+      policy_(options_.freshness_limit),
+      sessions_(loop_, [this] { return Load(); }) {}
+
+target_daemon::~target_daemon() { Stop(); }
+
+absl::Status target_daemon::Listen() {
+  std::promise<absl::Status> listening;
+  std::string address = absl::StrCat(options_.rpc_address, ":", options_.rpc_port);
+  loop_.Post([this, address, &listening] {
+    auto parsed = loop_.provider().getNetwork().parseAddress(address);
+    auto listen = parsed.then([this, &listening](kj::Own<kj::NetworkAddress> where) {
+      server_ = std::make_unique<rpc_server>(where->listen(),
+                                             MakeTargetGate(options_.cluster_key, hooks_));
+      rpc_port_ = server_->port();
+      listening.set_value(absl::OkStatus());
+    });
+    loop_.Detach(kj::mv(listen), [&listening](kj::Exception&& error) {
+      listening.set_value(absl::UnavailableError(error.getDescription().cStr()));
+    });
+  });
+  absl::Status status = listening.get_future().get();
+  if (status.ok()) {
+    loop_.Post([this] { Heartbeat(); });
+  }
+  return status;
+}
+
+absl::Status target_daemon::Announce(const target_announcement& announcement) {
+  if (announcement.slots == 0 || announcement.slots > kMaxSlots) {
+    return absl::InvalidArgumentError(absl::StrCat("slots must be 1 to ", kMaxSlots));
+  }
+  std::scoped_lock lock(announce_mutex_);
+  if (stopping_) {
+    return absl::UnavailableError("stopping");
+  }
+  if (told_.has_value()) {
+    return *told_ == announcement
+               ? absl::OkStatus()
+               : absl::AlreadyExistsError("the target announced itself differently before");
+  }
+  told_ = announcement;
+  announcer_ = std::thread([this, announcement] { AnnounceMain(announcement); });
+  return absl::OkStatus();
+}
+
+void target_daemon::AnnounceMain(const target_announcement& target) {
+  target_row row;
+  row.incarnation.target = options_.target;
+  row.service = target.service;
+  row.failure_domain = options_.failure_domain;
+  row.slots = target.slots;
+  row.cores = target.cores;
+  row.memory_mb = target.memory_mb;
+  row.accelerator = target.accelerator;
+  row.address = absl::StrCat(options_.rpc_address, ":", rpc_port_);
+  while (true) {
+    absl::StatusOr<recorded_target_row> announced = wagtail::Announce(table_, row);
+    if (announced.ok()) {
+      loop_.Post([this, announced = *announced, target] { BeginWork(announced, target); });
+      return;
+    }
+    std::unique_lock lock(announce_mutex_);
+    stop_requested_.wait_for(lock, options_.announce_retry, [this] { return stopping_; });
+    if (stopping_) {
+      return;
+    }
+  }
+}
+
+void target_daemon::BeginWork(recorded_target_row announced, const target_announcement& target) {
+  start_ledger_options ledger;
+  ledger.self = announced.row.incarnation;
+  ledger.announced_revision = announced.revision;
+  ledger.slots = target.slots;
+  ledger.queue_limit = options_.queue_limit;
+  ledger.id_life = options_.id_life;
+  ledger_.emplace(ledger, [this](instant now) { return policy_.Judge(now); });
+  runner_ = std::make_unique<task_runner>(target.slots, target.url, [this](task_result result) {
+    loop_.Post([this, result = std::move(result)]() mutable { OnFinished(std::move(result)); });
+  });
+  announced_ = std::move(announced);
+}
+
+target_gate_hooks target_daemon::MakeHooks() {
+  target_gate_hooks hooks;
+  hooks.self = [this] {
+    Require(announced_.has_value(), "the target has not announced itself");
+    return announced_->row.incarnation;
+  };
+  hooks.on_enter = [this](entry_incarnation entry, wire::EntryListener::Client listener) {
+    Require(announced_.has_value(), "the target has not announced itself");
+    sessions_.Add(entry, kj::mv(listener));
+  };
+  hooks.accept = [this](start_request request, uint64_t owner_uptime_ms) {
+    return ledger_->Accept(std::move(request), owner_uptime_ms, MonotonicNow());
+  };
+  hooks.after_batch = [this] { Pump(); };
+  hooks.settle = [this](std::span<const start_request> tasks, queued_tasks queued) {
+    return ledger_->Settle(tasks, queued, MonotonicNow());
+  };
+  hooks.fence = [this](const job_key& job, uint64_t minted_uptime_ms) {
+    return ledger_->FenceJob(job, minted_uptime_ms, MonotonicNow());
+  };
+  hooks.load = [this] { return Load(); };
+  return hooks;
+}
+
+target_load target_daemon::Load() const {
+  if (!ledger_.has_value()) {
+    return {};
+  }
+  return {.running = ledger_->running(), .queued = ledger_->queued()};
+}
+
+void target_daemon::Pump() {
+  while (auto next = ledger_->TakeNext(MonotonicNow())) {
+    if (next->reason == refusal::kNone) {
+      runner_->Start(std::move(next->request));
+    } else {
+      sessions_.TellNotStarted(next->request.key, next->reason);
+    }
+  }
+}
+
+void target_daemon::OnFinished(task_result result) {
+  ledger_->Finish(result, MonotonicNow());
+  sessions_.Tell(std::move(result));
+  Pump();
+}
+
+void target_daemon::Heartbeat() {
+  instant now = MonotonicNow();
+  if (ledger_.has_value()) {
+    ledger_->Expire(now);
+    entry_sessions::report report{.enforced_version = policy_.version(),
+                                  .ready = policy_.Judge(now) == refusal::kNone};
+    sessions_.Heartbeat(report, [this](const policy_answer& answer) {
+      policy_.OnAnswer(answer);
+      Pump();
+    });
+    Pump();
+  }
+  loop_.After(options_.heartbeat_interval, [this] { Heartbeat(); });
+}
+
+target_daemon_status target_daemon::Status() {
+  target_daemon_status status;
+  loop_.Run([this, &status] {
+    status.announced = announced_.has_value();
+    status.ready = status.announced && policy_.Judge(MonotonicNow()) == refusal::kNone;
+    status.load = Load();
+    status.configuration_version = policy_.version();
+    status.entries = sessions_.size();
+    if (status.announced) {
+      status.self = announced_->row.incarnation;
+      status.counters = ledger_->counters();
+      status.records = ledger_->record_count();
+    }
+  });
+  return status;
+}
+
+void target_daemon::Stop() {
+  {
+    std::scoped_lock lock(announce_mutex_);
+    if (stopping_) {
+      return;
+    }
+    stopping_ = true;
+  }
+  stop_requested_.notify_all();
+  if (announcer_.joinable()) {
+    announcer_.join();
+  }
+  instant limit = MonotonicNow() + options_.stop_limit;
+  std::optional<recorded_target_row> announced;
+  loop_.Run([this, &announced] {
+    if (ledger_.has_value()) {
+      ledger_->BeginStop();
+      Pump();
+    }
+    announced = announced_;
+  });
+  uint32_t running = 1;
+  while (running > 0 && MonotonicNow() < limit) {
+    loop_.Run([this, &running] { running = Load().running; });
+    std::this_thread::sleep_for(kStopPoll);
+  }
+  if (announced.has_value()) {
+    // Best effort: a row left as announced only makes recovery more careful.
+    (void)Retire(table_, *announced);
+  }
+  runner_.reset();
+  loop_.Run([this] { server_.reset(); });
+  loop_.Stop();
+}
+
+}  // namespace wagtail
--- /dev/null
+++ b/services/targetd/targetd_http.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "http/http_message.h"
+#include "target/target_daemon.h"
+
+namespace wagtail {
+
+/// Answers the target's announcement and the probes of operators: POST /v1/announce, GET /healthz,
+/// /readyz, /metrics.
+http_response AnswerTargetdRequest(target_daemon& daemon, const http_request& request);
+
+}  // namespace wagtail
--- a/tests/membership/possible_places_test.cc
+++ b/tests/membership/possible_places_test.cc
@@ -20,7 +20,7 @@
     target_row row = CourtTarget(name);
     if (lives.empty()) {
       lives.push_back({row, revision_});
-    } else if (retire && lives.back().row.state == target_state::kAnnounced) {
+    } else if (retire && lives.back().row.state == announcement_state::kAnnounced) {
       lives.push_back({Retirement(lives.back()), revision_});
     } else {
       lives.push_back({*NextAnnouncement(row, lives.back()), revision_});
@@ -33,7 +33,7 @@
     for (const auto& [row, written] : rows_.at(name)) {
       if (written <= revision) {
         result.reset();
-        if (row.state == target_state::kAnnounced) {
+        if (row.state == announcement_state::kAnnounced) {
           result = row.incarnation;
         }
       }
