--- a/libraries/table/table.h
+++ b/libraries/table/table.h
@@ -45,6 +45,7 @@
   std::string key{};
   uint64_t revision = 0;               ///< of the transaction that last wrote the row
   std::optional<std::string> value{};  ///< empty when that transaction erased the row
+  bool operator==(const table_row&) const = default;
 };
 
 /// Rows under a prefix that changed after a revision, erased rows included.
@@ -56,17 +57,20 @@
 struct table_condition {
   std::string key{};
   uint64_t revision = 0;  ///< the row's revision must be this; 0: the row must not exist
+  bool operator==(const table_condition&) const = default;
 };
 
 struct table_write {
   std::string key{};
   std::optional<std::string> value{};  ///< empty erases the row
+  bool operator==(const table_write&) const = default;
 };
 
 /// All writes take effect together if every condition holds, else none does.
 struct table_transaction {
   std::vector<table_condition> conditions{};
   std::vector<table_write> writes{};
+  bool operator==(const table_transaction&) const = default;
 };
 
 /// Client of the table. Implementations are safe to call from several threads; calls block.
--- a/tests/stand_ins/platform/main.cc
+++ b/tests/stand_ins/platform/main.cc
@@ -1,12 +1,12 @@
 #include "base/try.h"
-#include "tests/stand_ins/platform/platform.h"
+#include "tests/stand_ins/platform/stand_in_platform.h"
 
 namespace wagtail {
 namespace {
 
 absl::StatusOr<std::unique_ptr<stand_in>> NewPlatform(object_reader reader) {
   platform_settings settings = TRY(platform_settings::From(std::move(reader)));
-  return std::make_unique<platform>(std::move(settings));
+  return std::make_unique<stand_in_platform>(std::move(settings));
 }
 
 }  // namespace
--- a/tests/stand_ins/platform/platform.cc
+++ b/tests/stand_ins/platform/stand_in_platform.cc
@@ -1,4 +1,4 @@
-#include "tests/stand_ins/platform/platform.h"
+#include "tests/stand_ins/platform/stand_in_platform.h"
 
 #include <charconv>
 #include <optional>
@@ -44,31 +44,31 @@
   return limit == 0 || taken_ <= limit;
 }
 
-platform::platform(platform_settings settings)
+stand_in_platform::stand_in_platform(platform_settings settings)
     : settings_(std::move(settings)), behaviour_(settings_.behaviour) {}
 
-http_server_options platform::server_options() const {
+http_server_options stand_in_platform::server_options() const {
   return {.address = settings_.address,
           .port = static_cast<uint16_t>(settings_.port),
           .max_connections = static_cast<unsigned>(settings_.max_connections)};
 }
 
-void platform::OnListening(uint16_t /*port*/) {}
+void stand_in_platform::OnListening(uint16_t /*port*/) {}
 
-void platform::OnStopping() {
+void stand_in_platform::OnStopping() {
   std::lock_guard lock(mutex_);
   stopping_ = true;
   stop_.notify_all();
 }
 
-http_response platform::Handle(const http_request& request) {
+http_response stand_in_platform::Handle(const http_request& request) {
   if (request.path == "/control") {
     return request.method == "GET" ? Counters() : Control(request);
   }
   return ServeStore(request);
 }
 
-http_response platform::Control(const http_request& request) {
+http_response stand_in_platform::Control(const http_request& request) {
   auto reader = object_reader::Parse(request.body);
   if (!reader.ok()) {
     return ErrorAnswer(kBadRequest, MessageOf(reader.status()));
@@ -86,7 +86,7 @@
   return Counters();
 }
 
-http_response platform::Counters() {
+http_response stand_in_platform::Counters() {
   std::lock_guard lock(mutex_);
   return JsonAnswer(kOk, {{"reads", reads_.load()},
                           {"writes", writes_.load()},
@@ -99,7 +99,7 @@
                           {"lose_answers", behaviour_.lose_answers}});
 }
 
-http_response platform::ServeStore(const http_request& request) {
+http_response stand_in_platform::ServeStore(const http_request& request) {
   platform_behaviour behaviour;
   {
     std::lock_guard lock(mutex_);
@@ -127,7 +127,7 @@
   return answer;
 }
 
-bool platform::Admit(access kind, const platform_behaviour& behaviour) {
+bool stand_in_platform::Admit(access kind, const platform_behaviour& behaviour) {
   instant now = MonotonicNow();
   if (behaviour.outage || now < behaviour.reject_until) {
     return false;
@@ -145,7 +145,7 @@
   return true;
 }
 
-void platform::Delay(duration span) {
+void stand_in_platform::Delay(duration span) {
   if (span == duration::zero()) {
     return;
   }
@@ -153,7 +153,7 @@
   stop_.wait_for(lock, span, [this] { return stopping_; });
 }
 
-http_response platform::Rows(const http_request& request) {
+http_response stand_in_platform::Rows(const http_request& request) {
   std::optional<uint64_t> after = NumberFrom(FieldOr(request.query, "after", "0"));
   if (!after.has_value()) {
     return ErrorAnswer(kBadRequest, "after must be a whole number");
@@ -164,7 +164,7 @@
   return {.headers = {{"content-type", "application/json"}}, .body = *std::move(text)};
 }
 
-http_response platform::Transaction(const http_request& request) {
+http_response stand_in_platform::Transaction(const http_request& request) {
   auto transaction = TransactionFromJson(request.body);
   if (!transaction.ok()) {
     return ErrorAnswer(kBadRequest, MessageOf(transaction.status()));
@@ -178,7 +178,7 @@
   return {.headers = {{"content-type", "application/json"}}, .body = RevisionToJson(*revision)};
 }
 
-http_response platform::Object(const http_request& request) {
+http_response stand_in_platform::Object(const http_request& request) {
   std::string name = request.path.substr(kObjectPath.size());
   std::lock_guard lock(mutex_);
   if (request.method == "PUT") {
--- a/tests/stand_ins/platform/platform.h
+++ b/tests/stand_ins/platform/stand_in_platform.h
@@ -26,9 +26,9 @@
 };
 
 /// Stands in for the platform: the transactional table and the object store, with their faults.
-class platform : public stand_in {
+class stand_in_platform : public stand_in {
  public:
-  explicit platform(platform_settings settings);
+  explicit stand_in_platform(platform_settings settings);
 
   http_server_options server_options() const override;
   http_response Handle(const http_request& request) override;
--- a/tests/stand_ins/target/main.cc
+++ b/tests/stand_ins/target/main.cc
@@ -1,12 +1,12 @@
 #include "base/try.h"
-#include "tests/stand_ins/target/target.h"
+#include "tests/stand_ins/target/stand_in_target.h"
 
 namespace wagtail {
 namespace {
 
 absl::StatusOr<std::unique_ptr<stand_in>> NewTarget(object_reader reader) {
   target_settings settings = TRY(target_settings::From(std::move(reader)));
-  return std::make_unique<target>(std::move(settings));
+  return std::make_unique<stand_in_target>(std::move(settings));
 }
 
 }  // namespace
--- a/tests/stand_ins/target/target.cc
+++ b/tests/stand_ins/target/stand_in_target.cc
@@ -1,4 +1,4 @@
-#include "tests/stand_ins/target/target.h"
+#include "tests/stand_ins/target/stand_in_target.h"
 
 #include <algorithm>
 #include <utility>
@@ -24,29 +24,29 @@
 
 }  // namespace
 
-target::target(target_settings settings)
+stand_in_target::stand_in_target(target_settings settings)
     : settings_(std::move(settings)), behaviour_(settings_.behaviour) {}
 
-http_server_options target::server_options() const {
+http_server_options stand_in_target::server_options() const {
   return {.address = settings_.address,
           .port = static_cast<uint16_t>(settings_.port),
           .max_connections = kConnectionsPerTarget};
 }
 
-void target::OnListening(uint16_t port) {
+void stand_in_target::OnListening(uint16_t port) {
   if (!settings_.daemon_url.empty()) {
     announcer_ = std::make_unique<announcer>(settings_, port);
   }
 }
 
-void target::OnStopping() {
+void stand_in_target::OnStopping() {
   announcer_.reset();
   std::lock_guard lock(mutex_);
   stopping_ = true;
   changed_.notify_all();
 }
 
-http_response target::Handle(const http_request& request) {
+http_response stand_in_target::Handle(const http_request& request) {
   if (request.path == "/run" && request.method == "POST") {
     return Run(request);
   }
@@ -59,7 +59,7 @@
   return ErrorAnswer(kNotFound, "no such path");
 }
 
-http_response target::Control(const http_request& request) {
+http_response stand_in_target::Control(const http_request& request) {
   auto reader = object_reader::Parse(request.body);
   if (!reader.ok()) {
     return ErrorAnswer(kBadRequest, MessageOf(reader.status()));
@@ -78,7 +78,7 @@
   return Counters(detail::kTotals);
 }
 
-http_response target::Counters(detail detail) {
+http_response stand_in_target::Counters(detail detail) {
   std::lock_guard lock(mutex_);
   nlohmann::json doubled_tasks = nlohmann::json::object();
   nlohmann::json tasks = nlohmann::json::object();
@@ -102,7 +102,7 @@
   return JsonAnswer(kOk, body);
 }
 
-http_response target::Run(const http_request& request) {
+http_response stand_in_target::Run(const http_request& request) {
   run_key key{.job = HeaderOf(request, "x-wagtail-job"),
               .task = HeaderOf(request, "x-wagtail-task")};
   if (key.job.empty() || key.task.empty()) {
@@ -122,8 +122,8 @@
   return RunInSlot(lock, key, request);
 }
 
-http_response target::RunInSlot(std::unique_lock<std::mutex>& lock, const run_key& key,
-                                const http_request& request) {
+http_response stand_in_target::RunInSlot(std::unique_lock<std::mutex>& lock, const run_key& key,
+                                         const http_request& request) {
   ++waiting_;
   waiting_max_ = std::max(waiting_max_, waiting_);
   changed_.wait(lock, [this] { return stopping_ || running_ < settings_.slots; });
@@ -145,7 +145,7 @@
   return JsonAnswer(kOk, {{"target", settings_.target}, {"echo", request.body}});
 }
 
-duration target::RunTime(const run_key& key, const std::string& body) const {
+duration stand_in_target::RunTime(const run_key& key, const std::string& body) const {
   int64_t run_ms = behaviour_.base_ms;
   auto document = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (document.is_object() && document.contains("run_ms") &&
@@ -157,7 +157,7 @@
       static_cast<double>(run_ms) * behaviour_.slowdown * spread));
 }
 
-double target::Chance(const run_key& key, std::string_view purpose) const {
+double stand_in_target::Chance(const run_key& key, std::string_view purpose) const {
   std::string text = std::to_string(settings_.jitter_seed) + "/" + std::string(purpose) + "/" +
                      key.job + "/" + key.task;
   constexpr double kRange = 18446744073709551616.0;  // 2 to the 64th
--- a/tests/stand_ins/target/target.h
+++ b/tests/stand_ins/target/stand_in_target.h
@@ -24,9 +24,9 @@
 };
 
 /// Stands in for a target: runs tasks by waiting, and counts how often each was started.
-class target : public stand_in {
+class stand_in_target : public stand_in {
  public:
-  explicit target(target_settings settings);
+  explicit stand_in_target(target_settings settings);
 
   http_server_options server_options() const override;
   http_response Handle(const http_request& request) override;
