--- /dev/null
+++ b/tests/support/tcp_relay.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <list>
+#include <mutex>
+#include <thread>
+
+#include "base/time.h"
+#include "tests/support/relay_connection.h"
+
+namespace wagtail {
+
+enum class relay_mode {
+  kPass,       ///< new connections work; those that went silent stay so
+  kSilent,     ///< connections open now go silent for good, new ones work
+  kBlackHole,  ///< connections open now go silent for good, new ones are accepted and silent too
+  kCut,        ///< connections open now are closed, new ones refused
+};
+
+/// Relays TCP connections on loopback to one port, and breaks them on request. A silent connection
+/// stays open at both ends: its bytes, and the news that an end has closed, are swallowed.
+class tcp_relay {
+ public:
+  /// Listens on an ephemeral port.
+  /// @param destination port on 127.0.0.1
+  explicit tcp_relay(uint16_t destination);
+  ~tcp_relay();
+  tcp_relay(const tcp_relay&) = delete;
+  tcp_relay& operator=(const tcp_relay&) = delete;
+
+  /// @return where to connect; the same for the whole life of the relay
+  uint16_t port() const { return port_; }
+  /// Takes effect before it returns, connections not yet accepted included.
+  void SetMode(relay_mode mode);
+  /// Connections relay to this port from now on, for instance after a restart.
+  void SetDestination(uint16_t destination);
+  /// Delays bytes that arrive from now on.
+  /// @param up towards the destination
+  /// @param down back from it
+  void SetDelay(duration up, duration down);
+  /// @return connections open now, silent ones included
+  size_t open_connections() const;
+
+ private:
+  void Run();
+  void Poll();
+  void ApplyMode();
+  void Accept();
+  void Listen();
+  void Wake() const;
+
+  int placeholder_ = -1;  ///< keeps the port while the relay doesn't listen
+  int listener_ = -1;
+  int wake_ = -1;
+  uint16_t port_ = 0;
+
+  mutable std::mutex mutex_;
+  std::condition_variable applied_;
+  uint16_t destination_;
+  relay_mode mode_ = relay_mode::kPass;
+  bool mode_pending_ = false;
+  bool ending_ = false;
+  duration up_delay_{0};
+  duration down_delay_{0};
+  std::list<relay_connection> connections_;
+  std::jthread thread_;
+};
+
+}  // namespace wagtail
