Give two holders the same token in the configuration test

The replaced run of six digits left four of sixty-four, so the texts held two different tokens and the case saw no refusal; the checker was right.

--- a/tests/configuration/configuration_text_test.cc
+++ b/tests/configuration/configuration_text_test.cc
@@ -59,7 +59,7 @@
      "the cycle court-control -> court-control is refused"},
     {"\"services\": [\"court-control\"", "\"services\": [\"court\"",
      "/teams/clubs/services: \"court\" is refused"},
-    {"222222", "111111",
+    {"2222", "1111",
      "/operators/amara/token_sha256: the same token as at /teams/clubs/token_sha256"},
     {"\"token_sha256\": \"2222", "\"token_sha256\": \"222",
      "/operators/amara/token_sha256: the value (not shown)"},
