--- /dev/null
+++ b/utilities/wagtail_load/job_record.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+
+namespace wagtail {
+
+/// How one job ended, seen by its caller.
+enum class job_outcome {
+  kComplete,
+  kFailedNotRun,
+  kFailedMayHaveRun,
+  kBadAnswer,     ///< an answer that breaks the API, for instance a partial one
+  kNoAnswer,      ///< connection lost or timed out after the request may have arrived
+  kNotConnected,  ///< no entry could be reached
+  kNotSent,       ///< the run was stopped before
+};
+
+/// Every outcome, in the order of reports.
+inline constexpr job_outcome kJobOutcomes[] = {
+    job_outcome::kComplete,  job_outcome::kFailedNotRun, job_outcome::kFailedMayHaveRun,
+    job_outcome::kBadAnswer, job_outcome::kNoAnswer,     job_outcome::kNotConnected,
+    job_outcome::kNotSent};
+
+/// @return the outcome in snake case
+std::string_view ToText(job_outcome outcome);
+
+/// What happened to one planned job.
+struct job_record {
+  job_outcome outcome = job_outcome::kNotSent;
+  duration sent{};              ///< since the start of the run
+  duration finished{};          ///< since the start of the run
+  std::string reason = {};      ///< the entry's, or the tool's own
+  bool answers_differ = false;  ///< a resubmission got another complete answer than the first
+};
+
+}  // namespace wagtail
