--- a/libraries/entry/configuration_controller.cc
+++ b/libraries/entry/configuration_controller.cc
@@ -50,36 +50,26 @@
 
 }  // namespace
 
-void configuration_controller::OnRead(instant read_started, const std::optional<table_row>& row) {
-  if (row.has_value() && row->value.has_value()) {
-    absl::StatusOr<configuration_record> record = ParseConfigurationRecord(*row->value);
-    if (!record.ok()) {
-      // The row says that something newer exists; without it nothing is fresh.
-      LogFact(log_level::kError, "configuration_row_unreadable",
-              {{"error", MessageOf(record.status())}});
-      return;
-    }
-    TakeOver(*record, row->revision);
-  }
-  evidence_.OnDirectRead(read_started, revision_);
-}
-
-void configuration_controller::TakeOver(const configuration_record& record, uint64_t revision) {
+bool configuration_controller::TakeOver(std::string_view text, uint64_t revision) {
   if (revision <= revision_) {
-    return;
+    return true;
   }
-  absl::StatusOr<configuration> parsed = ConfigurationOf(record);
+  absl::StatusOr<configuration_record> record = ParseConfigurationRecord(text);
+  absl::StatusOr<configuration> parsed =
+      record.ok() ? ConfigurationOf(*record) : absl::StatusOr<configuration>(record.status());
   if (!parsed.ok()) {
     LogFact(log_level::kError, "configuration_unreadable", {{"error", MessageOf(parsed.status())}});
-    return;
+    return false;
   }
+  // Versions never go back: the table's revisions and ours grow together.
   VERIFY(parsed->version > current_.version);
   current_ = *std::move(parsed);
-  record_ = record;
+  record_ = *std::move(record);
   revision_ = revision;
   LogFact(log_level::kInfo, "configuration_taken_over",
-          {{"version", std::to_string(current_.version)}, {"change", record.change_id}});
+          {{"version", std::to_string(current_.version)}, {"change", record_.change_id}});
   on_change_(current_);
+  return true;
 }
 
 absl::StatusOr<audit_record> CommitChange(table& table, configuration_change change,
--- a/libraries/entry/configuration_controller.h
+++ b/libraries/entry/configuration_controller.h
@@ -13,7 +13,6 @@
 #include "configuration/configuration.h"
 #include "configuration/configuration_change.h"
 #include "configuration/configuration_record.h"
-#include "freshness/freshness_evidence.h"
 #include "table/table.h"
 
 namespace wagtail {
@@ -25,7 +24,7 @@
 /// Prefix of the rows that say by its id whether a change was accepted.
 inline constexpr std::string_view kChangePrefix = "change/";
 
-/// The newest configuration that this entry knows, with its evidence. Lives on the loop's thread.
+/// The newest configuration that this entry knows. Lives on the loop's thread.
 class configuration_controller {
  public:
   /// Called when a newer version was taken over.
@@ -33,27 +32,23 @@
 
   explicit configuration_controller(change_hook on_change) : on_change_(std::move(on_change)) {}
 
-  /// A round of table reads succeeded.
-  /// @param read_started when the round began
-  /// @param row the configuration row, if it changed since the round before
-  void OnRead(instant read_started, const std::optional<table_row>& row);
-
-  /// Takes over a record that another entry or a commit of this one brought.
-  /// @param revision of the table when the record was written
-  void TakeOver(const configuration_record& record, uint64_t revision);
+  /// Takes over a record that a read or another entry brought, unless it is older than the one
+  /// held.
+  /// @param text value of the configuration row
+  /// @param revision of the table when the row was written
+  /// @return whether the record could be read
+  bool TakeOver(std::string_view text, uint64_t revision);
 
   const configuration& current() const { return current_; }
   const configuration_record& record() const { return record_; }
-  /// @return table revision that wrote the record; the version that freshness works with
+  /// @return table revision that wrote the record; 0 for none
   uint64_t revision() const { return revision_; }
-  freshness_evidence& evidence() { return evidence_; }
 
  private:
   change_hook on_change_;
   configuration current_;
   configuration_record record_;
   uint64_t revision_ = 0;
-  freshness_evidence evidence_;
 };
 
 /// Commits one change of the configuration together with its audit record; blocks. Settles a lost
--- a/libraries/entry/entry_context.h
+++ b/libraries/entry/entry_context.h
@@ -8,6 +8,7 @@
 #include "entry/configuration_controller.h"
 #include "entry/dispatch_controller.h"
 #include "entry/entry_view.h"
+#include "entry/freshness_controller.h"
 #include "entry/peer_links.h"
 #include "entry/recovery_controller.h"
 #include "membership/target_registry.h"
@@ -33,6 +34,7 @@
   std::atomic<uint64_t>& registry_revision;  ///< up to which the rows of targets are known
   dispatch_controller& dispatch;
   configuration_controller& configuration;
+  freshness_controller& freshness;
   target_registry& targets;
   peer_links& peers;
   recovery_controller& recoveries;
--- a/libraries/entry/entry_daemon.cc
+++ b/libraries/entry/entry_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <capnp/rpc-twoparty.h>
 
+#include <algorithm>
 #include <future>
 #include <optional>
 #include <thread>
@@ -51,6 +52,10 @@
   absl::Status ListenForPeers();
   absl::Status ListenForCallers();
   void OnRound(const table_round& round);
+  void OnTargetEvents(const table_changes& changes);
+  void Tick();
+  void Register();
+  void WriteRegistration(entry_state state);
   void PublishView();
   target_policy PolicyFor(const target_row& row, const target_report& report);
   kj::Promise<fence_report> Fence(const target_incarnation& target, const job_key& job,
@@ -68,11 +73,16 @@
   std::atomic<uint64_t> registry_revision = 0;
   bool stopping = false;
   uint16_t rpc_port = 0;
+  bool registered = false;
+  bool registration_under_way = false;
+  background_worker writer;
   event_loop loop;
   configuration_controller configuration;
+  entry_registry entries;
   target_registry targets;
   std::unique_ptr<dispatch_controller> dispatch;
   std::unique_ptr<peer_links> peers;
+  std::unique_ptr<freshness_controller> freshness;
   std::unique_ptr<recovery_controller> recoveries;
   std::optional<entry_context> context;
   std::unique_ptr<job_service> jobs;
@@ -104,6 +114,15 @@
         });
     peers = std::make_unique<peer_links>(
         loop, peer_links_options{.cluster_key = options.cluster_key, .self = self});
+    freshness = std::make_unique<freshness_controller>(
+        freshness_controller::parts{.loop = loop,
+                                    .peers = *peers,
+                                    .platform_table = this->platform_table,
+                                    .writer = writer,
+                                    .configuration = configuration,
+                                    .entries = entries,
+                                    .self = self},
+        options.freshness);
     recoveries = std::make_unique<recovery_controller>(
         loop, [this](const target_incarnation& target, const job_key& job,
                      uint64_t minted_uptime_ms) { return Fence(target, job, minted_uptime_ms); });
@@ -130,6 +149,7 @@
                             .registry_revision = registry_revision,
                             .dispatch = *dispatch,
                             .configuration = configuration,
+                            .freshness = *freshness,
                             .targets = targets,
                             .peers = *peers,
                             .recoveries = *recoveries});
@@ -163,15 +183,20 @@
     LogFact(log_level::kWarning, "table_read_failed");
     return;
   }
-  std::optional<table_row> configuration_row;
-  for (const table_row& row : round.rows) {
-    if (row.key == kConfigurationKey) {
-      configuration_row = row;
-    }
-  }
-  configuration.OnRead(round.started, configuration_row);
-  for (const target_event& event :
-       targets.OnChanges({.revision = round.revision, .rows = round.rows})) {
+  auto row_of = [&round](std::string_view key) -> std::optional<table_row> {
+    auto found = std::ranges::find(round.rows, key, &table_row::key);
+    return found == round.rows.end() ? std::nullopt : std::optional<table_row>(*found);
+  };
+  table_changes changes{.revision = round.revision, .rows = round.rows};
+  entries.OnChanges(changes);
+  OnTargetEvents(changes);
+  freshness->OnRead(round.started, row_of(kConfigurationKey), row_of(kVotersKey));
+  registry_revision.store(targets.revision());
+}
+
+void entry_daemon::parts::OnTargetEvents(const table_changes& changes) {
+  std::vector<target_event> events = targets.OnChanges(changes);
+  for (const target_event& event : events) {
     switch (event.kind) {
       case row_event_kind::kAdded:
       case row_event_kind::kReplaced:
@@ -187,7 +212,43 @@
         break;
     }
   }
-  registry_revision.store(targets.revision());
+  if (!events.empty()) {
+    std::vector<target_incarnation> present;
+    for (const target_row& row : targets.Present()) {
+      present.push_back(row.incarnation);
+    }
+    freshness->OnTargets(present);
+  }
+}
+
+void entry_daemon::parts::Tick() {
+  Register();
+  freshness->Tick();
+  loop.After(options.freshness.period, [this] { Tick(); });
+}
+
+void entry_daemon::parts::Register() {
+  if (registered || registration_under_way || stopping) {
+    return;
+  }
+  registration_under_way = true;
+  writer.Post([this] { WriteRegistration(entry_state::kServing); });
+}
+
+void entry_daemon::parts::WriteRegistration(entry_state state) {
+  entry_row row{.name = options.name,
+                .incarnation = self,
+                .http_address = absl::StrCat(options.http_address, ":", http->port()),
+                .rpc_address = absl::StrCat(options.rpc_address, ":", rpc_port),
+                .failure_domain = options.failure_domain,
+                .state = state};
+  table_transaction write;
+  write.writes.push_back({.key = EntryKey(options.name), .value = Serialise(row)});
+  bool committed = platform_table.Commit(write).ok();
+  loop.Post([this, committed] {
+    registered = registered || committed;
+    registration_under_way = false;
+  });
 }
 
 void entry_daemon::parts::PublishView() {
@@ -195,10 +256,10 @@
       std::make_unique<const entry_view>(MakeEntryView(configuration.current(), stopping)));
 }
 
-target_policy entry_daemon::parts::PolicyFor(const target_row& row,
-                                             const target_report& /*report*/) {
-  return {.configuration_version = configuration.revision(),
-          .evidence_age = configuration.evidence().Age(MonotonicNow()),
+target_policy entry_daemon::parts::PolicyFor(const target_row& row, const target_report& report) {
+  freshness->OnTargetConfirmed(row.incarnation, report.enforced_version);
+  return {.configuration_version = freshness->version(),
+          .evidence_age = freshness->Age(),
           .admitted = configuration.current().Admits(row.incarnation.target, row.failure_domain)};
 }
 
@@ -285,12 +346,18 @@
     std::this_thread::sleep_for(kStopPoll);
   }
   all.loop.Run([&all] { all.dispatch->EndAll("stopping"); });
+  if (all.http != nullptr) {
+    // Best effort: an entry that could not say goodbye stays a voter until it is replaced.
+    all.WriteRegistration(entry_state::kStopped);
+  }
   if (all.http != nullptr) {
     all.http->Stop();
   }
   all.watcher.reset();
   all.loop.Run([&all] {
     all.server.reset();
+    all.recoveries.reset();
+    all.freshness.reset();
     all.peers.reset();
     all.dispatch.reset();
   });
--- a/libraries/entry/entry_daemon.h
+++ b/libraries/entry/entry_daemon.h
@@ -7,6 +7,7 @@
 #include "absl/status/status.h"
 #include "base/time.h"
 #include "dispatch/dispatcher.h"
+#include "freshness/freshness_settings.h"
 #include "metrics/metrics_registry.h"
 #include "placement/target_pool.h"
 #include "table/table.h"
@@ -18,6 +19,7 @@
 
 struct entry_daemon_options {
   std::string name;
+  std::string failure_domain;
   std::string http_address = "127.0.0.1";
   uint16_t http_port = 0;  ///< 0 takes an ephemeral port
   std::string rpc_address = "127.0.0.1";
@@ -26,6 +28,7 @@
   std::string bootstrap_token_digest;  ///< operator's token until a configuration is accepted
   dispatcher_options dispatcher;
   placement_options placement;
+  freshness_settings freshness;
   duration table_interval = std::chrono::milliseconds(500);
   duration stop_limit = std::chrono::seconds(20);
 };
--- a/libraries/entry/entry_gate.cc
+++ b/libraries/entry/entry_gate.cc
@@ -76,11 +76,8 @@
   }
 
   kj::Promise<void> evidence(EvidenceContext context) override {  // NOLINT: generated name
-    auto results = context.getResults();
-    std::optional<duration> age = context_.configuration.evidence().Age(MonotonicNow());
-    results.setVersion(context_.configuration.revision());
-    results.setHasEvidence(age.has_value());
-    results.setAgeMs(static_cast<uint64_t>(ToMilliseconds(age.value_or(duration::zero())) + 1));
+    context_.freshness.Report(context.getParams().getKnownVersion(),
+                              context.getResults().initEvidence());
     return kj::READY_NOW;
   }
 
--- a/libraries/entry/operator_api.cc
+++ b/libraries/entry/operator_api.cc
@@ -66,6 +66,18 @@
   return response;
 }
 
+std::string_view ToString(missing_reason reason) {
+  switch (reason) {
+    case missing_reason::kVoterSilent:
+      return "entry_not_confirmed";
+    case missing_reason::kMayStillStart:
+      return "may_still_start";
+    case missing_reason::kStoppedWorking:
+      return "starts_nothing";
+  }
+  return "unknown";
+}
+
 std::string StateOf(const target_status& target, const configuration& current) {
   if (!target.is_up) {
     return "unreachable";
@@ -136,17 +148,18 @@
   context_.loop.Run([this, &body] {
     const configuration_record& record = context_.configuration.record();
     json missing = json::array();
-    for (const target_status& target : context_.dispatch.Targets()) {
-      if (target.report.enforced_version < context_.configuration.revision()) {
-        missing.push_back(target.row.incarnation.target);
-      }
+    json reasons = json::object();
+    for (const missing_party& party : context_.freshness.Missing()) {
+      missing.push_back(party.name);
+      reasons[party.name] = ToString(party.reason);
     }
     body = {{"version", record.version},
             {"text", record.text},
             {"leaving_failure_domains", record.leaving_failure_domains},
             {"leaving_targets", record.leaving_targets},
-            {"in_force", missing.empty()},
-            {"missing", missing}};
+            {"in_force", context_.freshness.IsInForce()},
+            {"missing", missing},
+            {"missing_reasons", reasons}};
   });
   return RespondJson(body.dump());
 }
@@ -204,10 +217,11 @@
 http_response operator_api::ShowStatus() {
   json body;
   context_.loop.Run([this, &body] {
-    std::optional<duration> age = context_.configuration.evidence().Age(MonotonicNow());
+    std::optional<duration> age = context_.freshness.Age();
     const dispatcher_counters& counters = context_.dispatch.decisions().counters();
     body = {{"version", context_.configuration.current().version},
-            {"evidence_age_ms", ToMilliseconds(age.value_or(duration::max()))},
+            {"evidence_age_ms", age.has_value() ? json(ToMilliseconds(*age)) : json()},
+            {"voters", context_.freshness.voters().size()},
             {"registry_revision", context_.targets.revision()},
             {"uptime_ms", context_.dispatch.UptimeMs()},
             {"targets", context_.dispatch.Targets().size()},
--- a/libraries/rpc/wire.capnp
+++ b/libraries/rpc/wire.capnp
@@ -106,20 +106,28 @@
   enter @1 (entryNonce :UInt64, proof :Data) -> (peer :EntryPeer, nonce :UInt64, proof :Data);
 }
 
-struct ConfirmedVersion {
-  target @0 :Text;
-  incarnation @1 :UInt64;
-  version @2 :UInt64;
-  heardAgeMs @3 :UInt64;
+# A table row as one process hands it on to another.
+struct SharedRow {
+  value @0 :Text;
+  revision @1 :UInt64;   # 0: the row does not exist
+}
+
+# What an entry can show of the newest configuration.
+struct Evidence {
+  incarnation @0 :UInt64;
+  version @1 :UInt64;        # the later of the revisions of the two rows
+  hasAge @2 :Bool;
+  ageMs @3 :UInt64;          # of its evidence, of any kind
+  hasOwnReadAge @4 :Bool;
+  ownReadAgeMs @5 :UInt64;   # of its own last successful read of the table
+  configuration @6 :SharedRow;  # set if newer than what the asker knows
+  voters @7 :SharedRow;
 }
 
 interface EntryPeer {
   # Submits a job to the entry that minted its id; waits for the final answer.
   submit @0 (jobId :Text, team :Text, body :Data) -> (status :UInt16, answer :Data);
   cancel @1 (jobId :Text, team :Text) -> (status :UInt16, answer :Data);
-  # How fresh the peer's configuration is, and what targets' daemons confirmed to it.
-  evidence @2 () -> (version :UInt64, ageMs :UInt64, hasEvidence :Bool, readsFail :Bool,
-                     confirmed :List(ConfirmedVersion), votersVersion :UInt64,
-                     configuration :Text);
+  evidence @2 (knownVersion :UInt64) -> (evidence :Evidence);
   ping @3 () -> ();
 }
--- a/libraries/rpc/wire.capnp.h
+++ b/libraries/rpc/wire.capnp.h
@@ -53,7 +53,8 @@
 CAPNP_DECLARE_SCHEMA(efb432a309288c57);
 CAPNP_DECLARE_SCHEMA(8dee5e5d2749f21e);
 CAPNP_DECLARE_SCHEMA(f0f3715577a6d7e9);
-CAPNP_DECLARE_SCHEMA(abc2f53bbadc2388);
+CAPNP_DECLARE_SCHEMA(b61852f6e12c7e28);
+CAPNP_DECLARE_SCHEMA(d2e8d27e39a7ccea);
 CAPNP_DECLARE_SCHEMA(ac820a7f2af85ce5);
 CAPNP_DECLARE_SCHEMA(dc4c4fa9e96ca27e);
 CAPNP_DECLARE_SCHEMA(f2e49f893e861cd9);
@@ -608,15 +609,30 @@
   };
 };
 
-struct ConfirmedVersion {
-  ConfirmedVersion() = delete;
+struct SharedRow {
+  SharedRow() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(abc2f53bbadc2388, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b61852f6e12c7e28, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Evidence {
+  Evidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d2e8d27e39a7ccea, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -716,7 +732,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be5fa3c02d25706d, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(be5fa3c02d25706d, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -731,7 +747,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c180ccbf58f8472e, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c180ccbf58f8472e, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3700,9 +3716,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfirmedVersion::Reader {
+class SharedRow::Reader {
 public:
-  typedef ConfirmedVersion Reads;
+  typedef SharedRow Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3717,14 +3733,109 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SharedRow::Builder {
+public:
+  typedef SharedRow Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SharedRow::Pipeline {
+public:
+  typedef SharedRow Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Evidence::Reader {
+public:
+  typedef Evidence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
   inline  ::uint64_t getIncarnation() const;
 
   inline  ::uint64_t getVersion() const;
 
-  inline  ::uint64_t getHeardAgeMs() const;
+  inline bool getHasAge() const;
+
+  inline  ::uint64_t getAgeMs() const;
+
+  inline bool getHasOwnReadAge() const;
+
+  inline  ::uint64_t getOwnReadAgeMs() const;
+
+  inline bool hasConfiguration() const;
+  inline  ::wagtail::wire::SharedRow::Reader getConfiguration() const;
+
+  inline bool hasVoters() const;
+  inline  ::wagtail::wire::SharedRow::Reader getVoters() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3738,9 +3849,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfirmedVersion::Builder {
+class Evidence::Builder {
 public:
-  typedef ConfirmedVersion Builds;
+  typedef Evidence Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3754,21 +3865,37 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
-
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
-  inline  ::uint64_t getHeardAgeMs();
-  inline void setHeardAgeMs( ::uint64_t value);
+  inline bool getHasAge();
+  inline void setHasAge(bool value);
+
+  inline  ::uint64_t getAgeMs();
+  inline void setAgeMs( ::uint64_t value);
+
+  inline bool getHasOwnReadAge();
+  inline void setHasOwnReadAge(bool value);
+
+  inline  ::uint64_t getOwnReadAgeMs();
+  inline void setOwnReadAgeMs( ::uint64_t value);
+
+  inline bool hasConfiguration();
+  inline  ::wagtail::wire::SharedRow::Builder getConfiguration();
+  inline void setConfiguration( ::wagtail::wire::SharedRow::Reader value);
+  inline  ::wagtail::wire::SharedRow::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::wagtail::wire::SharedRow>&& value);
+  inline ::capnp::Orphan< ::wagtail::wire::SharedRow> disownConfiguration();
+
+  inline bool hasVoters();
+  inline  ::wagtail::wire::SharedRow::Builder getVoters();
+  inline void setVoters( ::wagtail::wire::SharedRow::Reader value);
+  inline  ::wagtail::wire::SharedRow::Builder initVoters();
+  inline void adoptVoters(::capnp::Orphan< ::wagtail::wire::SharedRow>&& value);
+  inline ::capnp::Orphan< ::wagtail::wire::SharedRow> disownVoters();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3780,14 +3907,16 @@
 };
 
 #if !CAPNP_LITE
-class ConfirmedVersion::Pipeline {
+class Evidence::Pipeline {
 public:
-  typedef ConfirmedVersion Pipelines;
+  typedef Evidence Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wagtail::wire::SharedRow::Pipeline getConfiguration();
+  inline  ::wagtail::wire::SharedRow::Pipeline getVoters();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4248,6 +4377,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getKnownVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4276,6 +4407,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getKnownVersion();
+  inline void setKnownVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4319,21 +4453,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
-
-  inline  ::uint64_t getAgeMs() const;
-
-  inline bool getHasEvidence() const;
-
-  inline bool getReadsFail() const;
-
-  inline bool hasConfirmed() const;
-  inline  ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>::Reader getConfirmed() const;
-
-  inline  ::uint64_t getVotersVersion() const;
-
-  inline bool hasConfiguration() const;
-  inline  ::capnp::Text::Reader getConfiguration() const;
+  inline bool hasEvidence() const;
+  inline  ::wagtail::wire::Evidence::Reader getEvidence() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4363,34 +4484,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
-
-  inline  ::uint64_t getAgeMs();
-  inline void setAgeMs( ::uint64_t value);
-
-  inline bool getHasEvidence();
-  inline void setHasEvidence(bool value);
-
-  inline bool getReadsFail();
-  inline void setReadsFail(bool value);
-
-  inline bool hasConfirmed();
-  inline  ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>::Builder getConfirmed();
-  inline void setConfirmed( ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>::Builder initConfirmed(unsigned int size);
-  inline void adoptConfirmed(::capnp::Orphan< ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>> disownConfirmed();
-
-  inline  ::uint64_t getVotersVersion();
-  inline void setVotersVersion( ::uint64_t value);
-
-  inline bool hasConfiguration();
-  inline  ::capnp::Text::Builder getConfiguration();
-  inline void setConfiguration( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initConfiguration(unsigned int size);
-  inline void adoptConfiguration(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownConfiguration();
+  inline bool hasEvidence();
+  inline  ::wagtail::wire::Evidence::Builder getEvidence();
+  inline void setEvidence( ::wagtail::wire::Evidence::Reader value);
+  inline  ::wagtail::wire::Evidence::Builder initEvidence();
+  inline void adoptEvidence(::capnp::Orphan< ::wagtail::wire::Evidence>&& value);
+  inline ::capnp::Orphan< ::wagtail::wire::Evidence> disownEvidence();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4410,6 +4509,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wagtail::wire::Evidence::Pipeline getEvidence();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6407,80 +6507,214 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ConfirmedVersion::Reader::hasTarget() const {
+inline bool SharedRow::Reader::hasValue() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfirmedVersion::Builder::hasTarget() {
+inline bool SharedRow::Builder::hasValue() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfirmedVersion::Reader::getTarget() const {
+inline  ::capnp::Text::Reader SharedRow::Reader::getValue() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfirmedVersion::Builder::getTarget() {
+inline  ::capnp::Text::Builder SharedRow::Builder::getValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfirmedVersion::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void SharedRow::Builder::setValue( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ConfirmedVersion::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder SharedRow::Builder::initValue(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConfirmedVersion::Builder::adoptTarget(
+inline void SharedRow::Builder::adoptValue(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfirmedVersion::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> SharedRow::Builder::disownValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConfirmedVersion::Reader::getIncarnation() const {
+inline  ::uint64_t SharedRow::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SharedRow::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SharedRow::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Evidence::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfirmedVersion::Builder::getIncarnation() {
+inline  ::uint64_t Evidence::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfirmedVersion::Builder::setIncarnation( ::uint64_t value) {
+inline void Evidence::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConfirmedVersion::Reader::getVersion() const {
+inline  ::uint64_t Evidence::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfirmedVersion::Builder::getVersion() {
+inline  ::uint64_t Evidence::Builder::getVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ConfirmedVersion::Builder::setVersion( ::uint64_t value) {
+inline void Evidence::Builder::setVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConfirmedVersion::Reader::getHeardAgeMs() const {
+inline bool Evidence::Reader::getHasAge() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Evidence::Builder::getHasAge() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Evidence::Builder::setHasAge(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Evidence::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfirmedVersion::Builder::getHeardAgeMs() {
+inline  ::uint64_t Evidence::Builder::getAgeMs() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ConfirmedVersion::Builder::setHeardAgeMs( ::uint64_t value) {
+inline void Evidence::Builder::setAgeMs( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evidence::Reader::getHasOwnReadAge() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Evidence::Builder::getHasOwnReadAge() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Evidence::Builder::setHasOwnReadAge(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Evidence::Reader::getOwnReadAgeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Evidence::Builder::getOwnReadAgeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Evidence::Builder::setOwnReadAgeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evidence::Reader::hasConfiguration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evidence::Builder::hasConfiguration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wagtail::wire::SharedRow::Reader Evidence::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wagtail::wire::SharedRow::Builder Evidence::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::wagtail::wire::SharedRow::Pipeline Evidence::Pipeline::getConfiguration() {
+  return  ::wagtail::wire::SharedRow::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Evidence::Builder::setConfiguration( ::wagtail::wire::SharedRow::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wagtail::wire::SharedRow::Builder Evidence::Builder::initConfiguration() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evidence::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::wagtail::wire::SharedRow>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wagtail::wire::SharedRow> Evidence::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Evidence::Reader::hasVoters() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evidence::Builder::hasVoters() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wagtail::wire::SharedRow::Reader Evidence::Reader::getVoters() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::wagtail::wire::SharedRow::Builder Evidence::Builder::getVoters() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::wagtail::wire::SharedRow::Pipeline Evidence::Pipeline::getVoters() {
+  return  ::wagtail::wire::SharedRow::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Evidence::Builder::setVoters( ::wagtail::wire::SharedRow::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::wagtail::wire::SharedRow::Builder Evidence::Builder::initVoters() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Evidence::Builder::adoptVoters(
+    ::capnp::Orphan< ::wagtail::wire::SharedRow>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wagtail::wire::SharedRow> Evidence::Builder::disownVoters() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -6773,144 +7007,59 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t EntryPeer::EvidenceResults::Reader::getVersion() const {
+inline  ::uint64_t EntryPeer::EvidenceParams::Reader::getKnownVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EntryPeer::EvidenceResults::Builder::getVersion() {
+inline  ::uint64_t EntryPeer::EvidenceParams::Builder::getKnownVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EntryPeer::EvidenceResults::Builder::setVersion( ::uint64_t value) {
+inline void EntryPeer::EvidenceParams::Builder::setKnownVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t EntryPeer::EvidenceResults::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t EntryPeer::EvidenceResults::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void EntryPeer::EvidenceResults::Builder::setAgeMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EntryPeer::EvidenceResults::Reader::getHasEvidence() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool EntryPeer::EvidenceResults::Builder::getHasEvidence() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void EntryPeer::EvidenceResults::Builder::setHasEvidence(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EntryPeer::EvidenceResults::Reader::getReadsFail() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
-}
-
-inline bool EntryPeer::EvidenceResults::Builder::getReadsFail() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
-}
-inline void EntryPeer::EvidenceResults::Builder::setReadsFail(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EntryPeer::EvidenceResults::Reader::hasConfirmed() const {
+inline bool EntryPeer::EvidenceResults::Reader::hasEvidence() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryPeer::EvidenceResults::Builder::hasConfirmed() {
+inline bool EntryPeer::EvidenceResults::Builder::hasEvidence() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>::Reader EntryPeer::EvidenceResults::Reader::getConfirmed() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::wagtail::wire::Evidence::Reader EntryPeer::EvidenceResults::Reader::getEvidence() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>::Builder EntryPeer::EvidenceResults::Builder::getConfirmed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::wagtail::wire::Evidence::Builder EntryPeer::EvidenceResults::Builder::getEvidence() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryPeer::EvidenceResults::Builder::setConfirmed( ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::wagtail::wire::Evidence::Pipeline EntryPeer::EvidenceResults::Pipeline::getEvidence() {
+  return  ::wagtail::wire::Evidence::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::EvidenceResults::Builder::setEvidence( ::wagtail::wire::Evidence::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>::Builder EntryPeer::EvidenceResults::Builder::initConfirmed(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::wagtail::wire::Evidence::Builder EntryPeer::EvidenceResults::Builder::initEvidence() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryPeer::EvidenceResults::Builder::adoptConfirmed(
-    ::capnp::Orphan< ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void EntryPeer::EvidenceResults::Builder::adoptEvidence(
+    ::capnp::Orphan< ::wagtail::wire::Evidence>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>> EntryPeer::EvidenceResults::Builder::disownConfirmed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::wire::ConfirmedVersion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::wagtail::wire::Evidence> EntryPeer::EvidenceResults::Builder::disownEvidence() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t EntryPeer::EvidenceResults::Reader::getVotersVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t EntryPeer::EvidenceResults::Builder::getVotersVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void EntryPeer::EvidenceResults::Builder::setVotersVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EntryPeer::EvidenceResults::Reader::hasConfiguration() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryPeer::EvidenceResults::Builder::hasConfiguration() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader EntryPeer::EvidenceResults::Reader::getConfiguration() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder EntryPeer::EvidenceResults::Builder::getConfiguration() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void EntryPeer::EvidenceResults::Builder::setConfiguration( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder EntryPeer::EvidenceResults::Builder::initConfiguration(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void EntryPeer::EvidenceResults::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> EntryPeer::EvidenceResults::Builder::disownConfiguration() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
 }  // namespace
 }  // namespace
 
--- a/libraries/target/target_daemon.cc
+++ b/libraries/target/target_daemon.cc
@@ -37,7 +37,7 @@
     : options_(std::move(options)),
       table_(table),
       hooks_(MakeHooks()),
-      policy_(options_.freshness_limit),
+      gate_(options_.target, options_.failure_domain, options_.freshness),
       sessions_(loop_, [this] { return Load(); }) {}
 
 target_daemon::~target_daemon() { Stop(); }
@@ -113,7 +113,7 @@
   ledger.slots = target.slots;
   ledger.queue_limit = options_.queue_limit;
   ledger.id_life = options_.id_life;
-  ledger_.emplace(ledger, [this](instant now) { return policy_.Judge(now); });
+  ledger_.emplace(ledger, [this](instant now) { return JudgeStart(now); });
   runner_ = std::make_unique<task_runner>(target.slots, target.url, [this](task_result result) {
     loop_.Post([this, result = std::move(result)]() mutable { OnFinished(std::move(result)); });
   });
@@ -171,24 +171,44 @@
   instant now = MonotonicNow();
   if (ledger_.has_value()) {
     ledger_->Expire(now);
-    entry_sessions::report report{.enforced_version = policy_.version(),
-                                  .ready = policy_.Judge(now) == refusal::kNone};
+    entry_sessions::report report{.enforced_version = gate_.version(),
+                                  .ready = JudgeStart(now) == refusal::kNone};
     sessions_.Heartbeat(report, [this](const policy_answer& answer) {
-      policy_.OnAnswer(answer);
+      OnPolicy(answer);
       Pump();
     });
     Pump();
   }
-  loop_.After(options_.heartbeat_interval, [this] { Heartbeat(); });
+  loop_.After(options_.freshness.period, [this] { Heartbeat(); });
+}
+
+void target_daemon::OnPolicy(const policy_answer& answer) {
+  // The entry tells this target's part of the configuration only; the gate reads it from one.
+  configuration part;
+  if (!answer.admitted) {
+    part.leaving_targets.insert(options_.target);
+  }
+  gate_.OnConfiguration(part, answer.version);
+  if (answer.has_evidence) {
+    gate_.OnAnswer(answer.asked_at, answer.evidence_age, answer.version);
+  }
+}
+
+refusal target_daemon::JudgeStart(instant now) const {
+  std::optional<start_refusal> reason = gate_.Check(now);
+  if (!reason.has_value()) {
+    return refusal::kNone;
+  }
+  return *reason == start_refusal::kStale ? refusal::kStale : refusal::kLeaving;
 }
 
 target_daemon_status target_daemon::Status() {
   target_daemon_status status;
   loop_.Run([this, &status] {
     status.announced = announced_.has_value();
-    status.ready = status.announced && policy_.Judge(MonotonicNow()) == refusal::kNone;
+    status.ready = status.announced && JudgeStart(MonotonicNow()) == refusal::kNone;
     status.load = Load();
-    status.configuration_version = policy_.version();
+    status.configuration_version = gate_.version();
     status.entries = sessions_.size();
     if (status.announced) {
       status.self = announced_->row.incarnation;
--- a/libraries/target/target_daemon.h
+++ b/libraries/target/target_daemon.h
@@ -10,13 +10,13 @@
 #include <thread>
 
 #include "absl/status/statusor.h"
+#include "freshness/start_gate.h"
 #include "ledger/start_ledger.h"
 #include "placement/placement.h"
 #include "rpc/event_loop.h"
 #include "table/table.h"
 #include "target/announcer.h"
 #include "target/entry_sessions.h"
-#include "target/start_policy.h"
 #include "target/target_gate.h"
 #include "target/task_runner.h"
 
@@ -34,8 +34,7 @@
   std::string cluster_key;   ///< shared by all processes of the system
   uint32_t queue_limit = 2;  ///< tasks accepted beyond the target's slots
   duration id_life = std::chrono::minutes(5);
-  duration freshness_limit = std::chrono::milliseconds(2800);
-  duration heartbeat_interval = std::chrono::seconds(1);
+  freshness_settings freshness;
   duration announce_retry = std::chrono::milliseconds(500);
   duration stop_limit = std::chrono::seconds(15);  ///< for running tasks to finish
 };
@@ -90,6 +89,8 @@
   void Pump();
   void OnFinished(task_result result);
   void Heartbeat();
+  void OnPolicy(const policy_answer& answer);
+  refusal JudgeStart(instant now) const;
   target_load Load() const;
   target_gate_hooks MakeHooks();
 
@@ -104,7 +105,7 @@
   target_gate_hooks hooks_;
   event_loop loop_;
   // What follows is used on the loop's thread only.
-  start_policy policy_;
+  start_gate gate_;
   entry_sessions sessions_;
   std::optional<recorded_target_row> announced_;
   std::optional<start_ledger> ledger_;
--- a/services/entryd/entryd_settings.cc
+++ b/services/entryd/entryd_settings.cc
@@ -18,6 +18,7 @@
   entry_daemon_options& daemon = settings.daemon;
   TRY(ReadSettingsFile(path, [&settings, &daemon](object_reader& file) {
     daemon.name = file.RequiredText("name", NameRule());
+    daemon.failure_domain = file.Text("failure_domain", "unnamed", NameRule());
     daemon.http_address = file.Text("http_address", daemon.http_address);
     daemon.http_port = static_cast<uint16_t>(file.Unsigned("http_port", 0, {0, kMaxPort}));
     daemon.rpc_address = file.Text("rpc_address", daemon.rpc_address);
