Mend a leak of a commit that can't be written as JSON

The address sanitizer saw 158 bytes lost in table_test: g++ 12 does not destroy the finished members of an aggregate when TRY returns from inside its initialiser. TRY stands in its own statement now; http_test, table_test, stand_ins_test and tcp_relay_test pass under the address and undefined sanitizers.

--- a/libraries/table/http_table.cc
+++ b/libraries/table/http_table.cc
@@ -89,10 +89,12 @@
 }
 
 absl::StatusOr<uint64_t> http_table::Commit(const table_transaction& transaction) {
+  // Not inside the initialiser below: g++ leaks its finished members when TRY returns from within.
+  std::string body = TRY(TransactionToJson(transaction));
   http_call call{.method = "POST",
                  .url = options_.base_url + "/v1/transactions",
                  .headers = {{"content-type", "application/json"}},
-                 .body = TRY(TransactionToJson(transaction)),
+                 .body = std::move(body),
                  .timeout = options_.timeout};
   http_response answer = TRY_AS(caller_(call), UncommittedFrom);
   if (answer.status == kConflictStatus) {
