--- /dev/null
+++ b/libraries/placement/expected_finish.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <vector>
+
+#include "placement/placement_options.h"
+#include "placement/service_group.h"
+
+/// @file
+/// Chooses the target with the earliest expected finish, or none while waiting is expected to pay.
+
+namespace wagtail {
+
+/// The policy behind placement_policy::kExpectedFinish; free of state of its own.
+class expected_finish {
+ public:
+  explicit expected_finish(const placement_options& options) : options_(options) {}
+
+  target_state* Choose(const choice_request& request) const;
+
+ private:
+  /// What is expected of one target; times in microseconds.
+  struct forecast {
+    target_state* target = nullptr;
+    double run = 0;        ///< expected run time as it weighs in response / ideal
+    double mean_run = 0;   ///< mean run time, for the pace at which slots become free
+    double finish = 0;     ///< expected time until a task sent now is done
+    bool is_open = false;  ///< whether a task may be sent now
+  };
+  /// Run times of a service over all its targets.
+  struct service_run_time {
+    double typical = 0;      ///< assumed of a target that is not known yet; microseconds
+    double mean_factor = 1;  ///< mean run / typical run
+    double run_factor = 1;   ///< harmonic mean of runs / typical run
+  };
+
+  service_run_time RunTimeOf(const service_group& group) const;
+  forecast ForecastOf(target_state* target, const service_run_time& service, instant now) const;
+  double ExpectedWait(std::span<const forecast> forecasts, const forecast& best,
+                      uint32_t position) const;
+  double RoundTripTo(const target_state& target) const;
+  target_state* BreakTie(std::span<const forecast> forecasts, const forecast& best,
+                         std::mt19937_64& random) const;
+
+  placement_options options_;
+};
+
+}  // namespace wagtail
