--- a/libraries/settings/object_reader.cc
+++ b/libraries/settings/object_reader.cc
@@ -253,6 +253,9 @@
 void object_reader::Add(settings_problem problem) { problems_->push_back(std::move(problem)); }
 
 void object_reader::Finish() {
+  if (other_keys_ == other_keys::kAllowed) {
+    return;
+  }
   for (const auto& [key, value] : object_.items()) {
     if (!asked_.contains(key)) {
       const std::string known = asked_.empty() ? "no keys" : absl::StrJoin(asked_, ", ");
--- a/libraries/settings/object_reader.h
+++ b/libraries/settings/object_reader.h
@@ -96,6 +96,9 @@
   /// Notes a problem anywhere in the text, for checks across objects.
   void Add(settings_problem problem);
 
+  /// Lets keys stand that no getter asks for, as in answers of a newer release.
+  void AllowOtherKeys() { other_keys_ = other_keys::kAllowed; }
+
   /// Notes every key that no getter asked for. Called by the hooks' callers for nested objects.
   void Finish();
 
@@ -113,10 +116,13 @@
   void Note(std::string path, std::string value, std::string_view allowed);
   void ReadNested(const nlohmann::json& value, std::string path, const object_hook& read);
 
+  enum class other_keys { kRefused, kAllowed };
+
   const nlohmann::json& object_;
   std::string path_;
   settings_problems* problems_;
   std::set<std::string, std::less<>> asked_;
+  other_keys other_keys_ = other_keys::kRefused;
 };
 
 }  // namespace wagtail
--- a/tests/settings/settings_text_test.cc
+++ b/tests/settings/settings_text_test.cc
@@ -159,6 +159,11 @@
   CHECK(ErrorOf<settings_error>(status) == settings_error::kInvalid);
 }
 
+TEST(SettingsText, OtherKeysMayBeAllowed) {
+  const auto read = [](object_reader& reader) { reader.AllowOtherKeys(); };
+  CHECK(ReadSettings(R"({"new": 1})", "answer", read).ok());
+}
+
 TEST(SettingsText, TellsAMissingFile) {
   const absl::Status status = ReadSettingsFile("/nowhere/x.jsonc", [](object_reader&) {});
   CHECK(ErrorOf<settings_error>(status) == settings_error::kUnreadable);
--- /dev/null
+++ b/utilities/wagtailctl/change_commands.cc
@@ -0,0 +1,129 @@
+#include "utilities/wagtailctl/change_commands.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "base/try.h"
+#include "configuration/configuration_text.h"
+#include "settings/settings_text.h"
+#include "utilities/wagtailctl/change_submission.h"
+
+namespace wagtail {
+
+namespace {
+
+constexpr duration kPollPause = std::chrono::milliseconds(500);
+constexpr size_t kMaxNamesShown = 20;
+
+std::string NamesOf(const std::vector<std::string>& names) {
+  if (names.empty()) {
+    return "nobody named";
+  }
+  const size_t shown = std::min(names.size(), kMaxNamesShown);
+  std::string text =
+      absl::StrJoin(names.begin(), names.begin() + static_cast<ptrdiff_t>(shown), ", ");
+  if (shown < names.size()) {
+    absl::StrAppend(&text, " and ", names.size() - shown, " more");
+  }
+  return text;
+}
+
+absl::StatusOr<configuration_change> ChangeOf(const command_line& line, const time_budget& budget,
+                                              entry_client& client, command_context& context) {
+  configuration_change change;
+  change.change_id = line.change_id.empty() ? context.new_change_id() : line.change_id;
+  change.kind = line.kind;
+  change.subject = line.subject;
+  if (line.kind == change_kind::kApplyText) {
+    change.text = TRY(ReadTextFile(line.file));
+    TRY(ParseConfiguration(change.text, line.file));
+  }
+  if (line.base_version.has_value()) {
+    change.base_version = *line.base_version;
+    return change;
+  }
+  const configuration_view view = TRY(client.Configuration(budget.ForOneCall()));
+  change.base_version = view.record.version;
+  return change;
+}
+
+void PrintCommitted(const committed_change& committed, output_form form, std::ostream& out) {
+  if (form == output_form::kHuman) {
+    out << "version " << committed.version << " committed by change " << committed.change_id
+        << "\n";
+    return;
+  }
+  const nlohmann::json result = {
+      {"version", committed.version}, {"change_id", committed.change_id}, {"outcome", "committed"}};
+  out << result.dump() << "\n";
+}
+
+void PrintInForce(uint64_t wanted, uint64_t version, output_form form, std::ostream& out) {
+  if (form == output_form::kJson) {
+    out << nlohmann::json{{"version", version}, {"in_force", true}}.dump() << "\n";
+    return;
+  }
+  out << "version " << version << " is in force everywhere";
+  out << (version > wanted ? absl::StrCat(", which follows ", wanted) : "") << "\n";
+}
+
+/// What one look at the entries tells someone who waits.
+std::string ProgressOf(uint64_t wanted, const absl::StatusOr<configuration_view>& view) {
+  if (!view.ok()) {
+    return MessageOf(view.status());
+  }
+  if (view->record.version < wanted) {
+    return absl::StrCat("the entry still has version ", view->record.version);
+  }
+  return absl::StrCat("not confirmed by ", NamesOf(view->missing));
+}
+
+/// Some failures won't go away by waiting.
+bool IsFinal(const absl::Status& status) {
+  const std::optional<entry_error> error = ErrorOf<entry_error>(status);
+  return error == entry_error::kRefused || error == entry_error::kBadAnswer;
+}
+
+}  // namespace
+
+absl::Status RunChange(const command_line& line, const time_budget& budget, entry_client& client,
+                       command_context& context) {
+  const configuration_change change = TRY(ChangeOf(line, budget, client, context));
+  const committed_change committed = TRY(SubmitAndSettle(change, budget, client, context));
+  PrintCommitted(committed, line.form, context.out);
+  if (line.after == after_change::kReturn) {
+    return absl::OkStatus();
+  }
+  return WaitInForce(committed.version, line.form, budget, client, context);
+}
+
+absl::Status WaitInForce(uint64_t version, output_form form, const time_budget& budget,
+                         entry_client& client, command_context& context) {
+  std::string shown;
+  while (true) {
+    const absl::StatusOr<configuration_view> view = client.Configuration(budget.ForOneCall());
+    if (view.ok() && view->in_force && view->record.version >= version) {
+      PrintInForce(version, view->record.version, form, context.out);
+      return absl::OkStatus();
+    }
+    if (!view.ok() && IsFinal(view.status())) {
+      return view.status();
+    }
+    std::string progress = ProgressOf(version, view);
+    if (budget.left() <= kPollPause) {
+      return MakeError(entry_error::kTimedOut,
+                       absl::StrCat("version ", version, " is not yet in force: ", progress));
+    }
+    if (progress != shown) {
+      context.err << "version " << version << ": " << progress << "\n";
+      shown = std::move(progress);
+    }
+    context.sleep(kPollPause);
+  }
+}
+
+}  // namespace wagtail
