--- /dev/null
+++ b/libraries/placement/expected_finish.cc
@@ -0,0 +1,122 @@
+#include "placement/expected_finish.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <ranges>
+
+namespace wagtail {
+
+target_state* expected_finish::Choose(const choice_request& request) const {
+  const service_run_time service = RunTimeOf(request.group);
+  std::vector<forecast> forecasts;
+  forecasts.reserve(request.group.targets.size());
+  for (target_state* target : request.group.targets) {
+    if (!target->IsUsable()) {
+      continue;
+    }
+    forecast entry = ForecastOf(target, service, request.now);
+    entry.is_open =
+        entry.is_open && std::ranges::find(request.candidates, target) != request.candidates.end();
+    forecasts.push_back(entry);
+  }
+  const auto cost = [](const forecast& entry) {
+    return entry.is_open ? entry.finish : std::numeric_limits<double>::infinity();
+  };
+  const auto best = std::ranges::min_element(forecasts, {}, cost);
+  if (best == forecasts.end() || !best->is_open) {
+    return nullptr;
+  }
+  if (best->target->IsProbeDue(request.now)) {
+    return best->target;
+  }
+  const uint32_t position =
+      std::max<uint32_t>(request.group.waiting, request.group.turned_away + 1);
+  if (ExpectedWait(forecasts, *best, position) < best->finish) {
+    return nullptr;
+  }
+  return BreakTie(forecasts, *best, request.random);
+}
+
+expected_finish::service_run_time expected_finish::RunTimeOf(const service_group& group) const {
+  double log_sum = 0;
+  double mean_sum = 0;
+  double inverse_sum = 0;
+  uint32_t known = 0;
+  for (const target_state* target : group.targets) {
+    const run_time_estimate& learnt = target->run_time();
+    if (learnt.results() < options_.learning.trusted_results) {
+      continue;
+    }
+    ++known;
+    log_sum += std::log(learnt.typical());
+    mean_sum += learnt.mean_factor();
+    inverse_sum += learnt.inverse_factor();
+  }
+  if (known == 0) {
+    return {.typical = static_cast<double>(options_.learning.assumed_run.count())};
+  }
+  return {std::exp(log_sum / known), mean_sum / known, known / inverse_sum};
+}
+
+expected_finish::forecast expected_finish::ForecastOf(target_state* target,
+                                                      const service_run_time& service,
+                                                      instant now) const {
+  forecast result{.target = target};
+  const run_time_estimate& learnt = target->run_time();
+  const bool is_known = learnt.results() >= options_.learning.trusted_results;
+  double typical = is_known ? learnt.typical() : service.typical;
+  const auto silence = static_cast<double>(target->SilenceAt(now).count());
+  if (silence > options_.learning.silence_factor * service.mean_factor * typical) {
+    typical = silence;
+  }
+  result.run = typical * service.run_factor;
+  result.mean_run = typical * service.mean_factor;
+  const double slots = target->profile().slots;
+  const double occupied = target->outstanding() + target->OthersAt(now, result.mean_run);
+  const double ahead = std::max(0.0, occupied + 1 - slots);
+  result.finish = RoundTripTo(*target) + result.run + ahead * result.mean_run / slots;
+  result.is_open = target->outstanding() < target->window().WindowAt(now) &&
+                   ahead <= options_.queue_ahead && !target->health().IsEjected(now);
+  return result;
+}
+
+double expected_finish::ExpectedWait(std::span<const forecast> forecasts, const forecast& best,
+                                     uint32_t position) const {
+  double frees_per_microsecond = 0;
+  double weighted_run = 0;
+  for (const forecast& entry : forecasts) {
+    if (entry.run >= best.finish || entry.target == best.target) {
+      continue;
+    }
+    const double rate = entry.target->outstanding() / entry.mean_run;
+    frees_per_microsecond += rate;
+    weighted_run += rate * (RoundTripTo(*entry.target) + entry.run);
+  }
+  if (frees_per_microsecond <= 0) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return options_.wait_weight * position / frees_per_microsecond +
+         weighted_run / frees_per_microsecond;
+}
+
+double expected_finish::RoundTripTo(const target_state& target) const {
+  const bool is_near = target.profile().failure_domain == options_.failure_domain;
+  const duration round_trip = is_near ? options_.round_trip_within : options_.round_trip;
+  return static_cast<double>(round_trip.count());
+}
+
+target_state* expected_finish::BreakTie(std::span<const forecast> forecasts, const forecast& best,
+                                        std::mt19937_64& random) const {
+  const double limit = best.finish * (1 + options_.tie_tolerance);
+  std::vector<target_state*> tied;
+  for (const forecast& entry : forecasts) {
+    if (entry.is_open && entry.finish <= limit) {
+      tied.push_back(entry.target);
+    }
+  }
+  std::uniform_int_distribution<size_t> position(0, tied.size() - 1);
+  return tied[position(random)];
+}
+
+}  // namespace wagtail
