wagtail-load: resubmit lost jobs, send own keys, read counters

A caller that gets no answer resubmits under the same id to the next entry, as both users' clients do; idempotency keys of the caller's own go out with POST; counters named by the scenario are read from /metrics before and after, so that wasted messages stand beside the tasks completed.

--- a/tests/wagtail_load/load_run_test.cc
+++ b/tests/wagtail_load/load_run_test.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "http/http_client.h"
+#include "http/http_error.h"
 #include "http/http_server.h"
 #include "tests/wagtail_load/sample_scenario.h"
 #include "wagtail_load/load_runner.h"
@@ -53,6 +54,9 @@
     if (request.path == "/v1/job-ids") {
       return MintIds(json::parse(request.body).at("count").get<int>());
     }
+    if (request.path == "/v1/jobs") {
+      return RunJob(request.headers.at("idempotency-key"), json::parse(request.body));
+    }
     VERIFY(request.path.starts_with(kJobs));
     return RunJob(request.path.substr(kJobs.size()), json::parse(request.body));
   }
@@ -144,6 +148,34 @@
   LONGS_EQUAL(2, entry.changes());
 }
 
+TEST(LoadRun, ResubmitsUnderTheSameIdWhenNoAnswerCame) {
+  fake_entry first;
+  fake_entry second;
+  plan_.entries = {first.Url(), second.Url()};
+  plan_.resubmitted_share = 0;
+  auto lossy_call = [&](const http_call& call) -> absl::StatusOr<http_response> {
+    auto answer = CallHttp(call);
+    bool lost = call.method == "PUT" && call.url.starts_with(first.Url());
+    return lost ? MakeError(http_error::kNoAnswer, "lost") : answer;
+  };
+  auto jobs = *MakeSchedule(plan_);
+  run_outcome outcome = RunSchedule(plan_, jobs, lossy_call, stop_);
+  run_report report = Summarise(plan_, jobs, outcome.records, outcome.changes);
+  LONGS_EQUAL(report.totals.jobs, CountOf(report, job_outcome::kComplete));
+  CHECK(report.totals.lost_resubmissions > 0);
+  LONGS_EQUAL(first.submissions(), report.totals.lost_resubmissions);
+  LONGS_EQUAL(report.totals.jobs, second.submissions());
+}
+
+TEST(LoadRun, SendsKeysOfItsOwn) {
+  fake_entry entry;
+  plan_.entries = {entry.Url()};
+  plan_.ids = id_source::kOwnKeys;
+  run_report report = Run();
+  LONGS_EQUAL(report.totals.jobs, CountOf(report, job_outcome::kComplete));
+  LONGS_EQUAL(report.totals.jobs, entry.jobs());
+}
+
 TEST(LoadRun, SendsNothingOnceStopped) {
   fake_entry entry;
   plan_.entries = {entry.Url()};
--- a/tests/wagtail_load/report_test.cc
+++ b/tests/wagtail_load/report_test.cc
@@ -4,6 +4,7 @@
 
 #include "tests/wagtail_load/sample_scenario.h"
 #include "wagtail_load/comparison.h"
+#include "wagtail_load/counter_scrape.h"
 #include "wagtail_load/entry_client.h"
 #include "wagtail_load/load_error.h"
 #include "wagtail_load/statistics.h"
@@ -134,6 +135,28 @@
   CHECK(empty.find("nan") == std::string::npos && empty.find("inf") == std::string::npos);
 }
 
+TEST(Report, TellsHowMuchCountersGrew) {
+  const std::string page =
+      "# TYPE sent_total counter\n"
+      "sent_total{peer=\"a} 9\"} 3\n"
+      "sent_total{peer=\"b\"} 4.5\n"
+      "sent_total_other 100\n"
+      "sent_total 2";
+  DOUBLES_EQUAL(9.5, SumOfSamples(page, "sent_total"), 1e-9);
+  DOUBLES_EQUAL(0, SumOfSamples(page, "absent_total"), 0);
+  auto page_of = [](double sum) {
+    return counter_page{.url = "", .answered = true, .sums = {{"sent_total", sum}}};
+  };
+  // The second process restarted and the third never answered.
+  const std::vector<counter_page> before = {page_of(10), page_of(10), {}};
+  const std::vector<counter_page> after = {page_of(15), page_of(2), {}};
+  const std::vector<std::string> names = {"sent_total"};
+  auto growths = GrowthBetween(before, after, names);
+  LONGS_EQUAL(1, growths.size());
+  DOUBLES_EQUAL(7, growths[0].growth, 1e-9);
+  LONGS_EQUAL(1, growths[0].missing_pages);
+}
+
 TEST(Report, JudgesAnswers) {
   auto outcome_of = [](int status, const std::string& body) {
     return JudgeAnswer({.status = status, .headers = {}, .body = body}, 2).outcome;
--- a/utilities/wagtail_load/comparison.cc
+++ b/utilities/wagtail_load/comparison.cc
@@ -84,6 +84,12 @@
                        .first = first.window->completed_work_s,
                        .second = second.window->completed_work_s});
   }
+  for (const counter_growth& counter : first.counters) {
+    auto other = std::ranges::find(second.counters, counter.name, &counter_growth::name);
+    if (other != second.counters.end()) {
+      figures.push_back({.name = counter.name, .first = counter.growth, .second = other->growth});
+    }
+  }
   AddDistribution(figures, "response, ms,", first.response_ms, second.response_ms);
   AddDistribution(figures, "response / ideal", first.response_over_ideal,
                   second.response_over_ideal);
--- a/utilities/wagtail_load/entry_client.cc
+++ b/utilities/wagtail_load/entry_client.cc
@@ -16,6 +16,8 @@
 using nlohmann::json;
 
 constexpr int kOk = 200;
+/// Short, since another entry can mint in place of a silent one.
+constexpr duration kMintTimeout = std::chrono::seconds(2);
 constexpr int kFirstError = 400;
 
 json ParseLoosely(const std::string& text) {
@@ -96,6 +98,7 @@
                                                                uint32_t count) const {
   http_call call = Call("POST", entry, "/v1/job-ids", plan_.token);
   call.body = json{{"count", count}}.dump();
+  call.timeout = std::min(call.timeout, kMintTimeout);
   http_response answer = TRY(call_(call));
   json body = ParseLoosely(answer.body);
   auto ids = body.find("ids");
@@ -124,7 +127,12 @@
 
 submission_answer entry_client::Submit(std::string_view entry, std::string_view id,
                                        const planned_job& job) const {
-  http_call call = Call("PUT", entry, "/v1/jobs/" + std::string(id), plan_.token);
+  bool own_key = plan_.ids == id_source::kOwnKeys;
+  http_call call = own_key ? Call("POST", entry, "/v1/jobs", plan_.token)
+                           : Call("PUT", entry, "/v1/jobs/" + std::string(id), plan_.token);
+  if (own_key) {
+    call.headers["idempotency-key"] = id;
+  }
   call.body = BodyOf(job);
   absl::StatusOr<http_response> answer = call_(call);
   if (answer.ok()) {
--- a/utilities/wagtail_load/entry_client.h
+++ b/utilities/wagtail_load/entry_client.h
@@ -36,6 +36,7 @@
   absl::StatusOr<std::vector<std::string>> MintIds(std::string_view entry, uint32_t count) const;
 
   /// Submits a job and waits for its final answer.
+  /// @param id a minted id or an idempotency key, as the scenario says
   submission_answer Submit(std::string_view entry, std::string_view id,
                            const planned_job& job) const;
 
--- a/utilities/wagtail_load/job_id_pool.cc
+++ b/utilities/wagtail_load/job_id_pool.cc
@@ -2,16 +2,31 @@
 
 #include <algorithm>
 #include <iterator>
+#include <random>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "base/try.h"
 
 namespace wagtail {
 
+namespace {
+
+std::string NewRunId() {
+  std::random_device entropy;
+  return absl::StrFormat("load-%08x%08x", entropy(), entropy());
+}
+
+}  // namespace
+
 job_id_pool::job_id_pool(const scenario& plan, const entry_client& client)
-    : plan_(plan), client_(client), ids_(plan.entries.size()) {}
+    : plan_(plan), client_(client), run_id_(NewRunId()), ids_(plan.entries.size()) {}
 
 absl::StatusOr<std::string> job_id_pool::Take(size_t entry) {
+  if (plan_.ids == id_source::kOwnKeys) {
+    return absl::StrCat(run_id_, "-", next_key_++);
+  }
   {
     std::lock_guard lock(mutex_);
     if (!ids_[entry].empty()) {
--- a/utilities/wagtail_load/job_id_pool.h
+++ b/utilities/wagtail_load/job_id_pool.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <atomic>
+#include <cstdint>
 #include <deque>
 #include <mutex>
 #include <string>
@@ -11,8 +13,8 @@
 
 namespace wagtail {
 
-/// Keeps job ids at hand, fetched in batches from the entry that will get the job. Safe from
-/// several threads.
+/// Keeps job ids at hand, fetched in batches from the entry that will get the job, or makes keys of
+/// the caller's own. Safe from several threads.
 class job_id_pool {
  public:
   /// @param plan,client must outlive the pool
@@ -22,12 +24,17 @@
   /// @return an id minted by this entry, fetched now if none is at hand
   absl::StatusOr<std::string> Take(size_t entry);
 
+  /// @return a text that no other run has, for ids of changes
+  const std::string& run_id() const { return run_id_; }
+
  private:
   /// Small, so that ids are used soon after they were minted.
   static constexpr uint32_t kBatch = 16;
 
   const scenario& plan_;
   const entry_client& client_;
+  const std::string run_id_;  ///< makes own keys differ between runs
+  std::atomic<uint64_t> next_key_ = 0;
   std::mutex mutex_;
   std::vector<std::deque<std::string>> ids_;  ///< per entry
 };
--- a/utilities/wagtail_load/job_record.h
+++ b/utilities/wagtail_load/job_record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,7 @@
   duration sent{};              ///< since the start of the run
   duration finished{};          ///< since the start of the run
   std::string reason = {};      ///< the entry's, or the tool's own
+  uint32_t resubmissions = 0;   ///< after no answer came
   bool answers_differ = false;  ///< a resubmission got another complete answer than the first
 };
 
--- a/utilities/wagtail_load/load_runner.cc
+++ b/utilities/wagtail_load/load_runner.cc
@@ -1,11 +1,10 @@
 #include "wagtail_load/load_runner.h"
 
 #include <algorithm>
-#include <random>
 #include <string>
 #include <thread>
 
-#include "absl/strings/str_format.h"
+#include "absl/strings/str_cat.h"
 #include "base/layer_error.h"
 #include "wagtail_load/job_id_pool.h"
 
@@ -95,7 +94,7 @@
       const std::string& other = plan_.entries[(entry + 1) % plan_.entries.size()];
       resubmission = std::jthread([&] { second = client_.Submit(other, id, job); });
     }
-    submission_answer first = client_.Submit(plan_.entries[entry], id, job);
+    submission_answer first = SubmitUntilAnswered(job, entry, id, record);
     record.outcome = first.outcome;
     record.reason = std::move(first.reason);
     if (job.resubmitted) {
@@ -106,14 +105,27 @@
     }
   }
 
+  submission_answer SubmitUntilAnswered(const planned_job& job, size_t entry, const std::string& id,
+                                        job_record& record) const {
+    submission_answer answer = client_.Submit(plan_.entries[entry], id, job);
+    while (IsLost(answer) && record.resubmissions < plan_.resubmissions_when_lost && !stop_) {
+      ++record.resubmissions;
+      entry = (entry + 1) % plan_.entries.size();
+      answer = client_.Submit(plan_.entries[entry], id, job);
+    }
+    return answer;
+  }
+
+  static bool IsLost(const submission_answer& answer) {
+    return answer.outcome == job_outcome::kNoAnswer || answer.outcome == job_outcome::kNotConnected;
+  }
+
   void MakeChanges() {
-    std::random_device entropy;
-    std::string run_id = absl::StrFormat("load-%08x%08x", entropy(), entropy());
     for (size_t i = 0; i < plan_.actions.size(); ++i) {
       if (!SleepUntil(plan_.actions[i].at)) {
         return;
       }
-      outcome_.changes.push_back(Make(plan_.actions[i], absl::StrFormat("%s-%d", run_id, i)));
+      outcome_.changes.push_back(Make(plan_.actions[i], absl::StrCat(ids_.run_id(), "-", i)));
     }
   }
 
--- a/utilities/wagtail_load/main.cc
+++ b/utilities/wagtail_load/main.cc
@@ -13,6 +13,7 @@
 #include "http/http_client.h"
 #include "settings/settings_text.h"
 #include "wagtail_load/comparison.h"
+#include "wagtail_load/counter_scrape.h"
 #include "wagtail_load/load_error.h"
 #include "wagtail_load/load_runner.h"
 #include "wagtail_load/run_report.h"
@@ -77,8 +78,13 @@
       absl::FormatTime("%Y-%m-%d%ET%H:%M:%SZ", absl::Now(), absl::UTCTimeZone());
   std::cerr << "running " << plan.name << ": " << jobs.size() << " jobs in "
             << ToSeconds(plan.length) << " s\n";
+  const std::vector<std::string>& pages =
+      plan.metrics_pages.empty() ? plan.entries : plan.metrics_pages;
+  std::vector<counter_page> before = ScrapeCounters(pages, plan.counters, CallHttp);
   run_outcome outcome = RunSchedule(plan, jobs, CallHttp, stop_requested);
+  std::vector<counter_page> after = ScrapeCounters(pages, plan.counters, CallHttp);
   run_report report = Summarise(plan, jobs, outcome.records, std::move(outcome.changes));
+  report.counters = GrowthBetween(before, after, plan.counters);
   report.origin = {.scenario = plan.name,
                    .workload = WorkloadDigest(plan),
                    .seed = plan.seed,
--- a/utilities/wagtail_load/markdown_report.cc
+++ b/utilities/wagtail_load/markdown_report.cc
@@ -27,6 +27,20 @@
   return out + "\n";
 }
 
+std::string CountersTable(const run_report& report) {
+  if (report.counters.empty()) {
+    return "";
+  }
+  std::string out =
+      "\n| counter | growth | per completed task | pages missing |\n|---|---|---|---|\n";
+  auto tasks = static_cast<double>(std::max<uint64_t>(1, report.totals.completed_tasks));
+  for (const counter_growth& counter : report.counters) {
+    absl::StrAppendFormat(&out, "| %s | %.10g | %.4f | %d |\n", counter.name, counter.growth,
+                          counter.growth / tasks, counter.missing_pages);
+  }
+  return out;
+}
+
 std::string WindowText(const change_window& window) {
   std::string out = absl::StrFormat(
       "Window of the changes, second %.0f to %.0f: %.1f s of work offered, %.1f s completed",
@@ -49,10 +63,11 @@
   absl::StrAppendFormat(
       &out,
       "%d jobs of %d tasks; complete: %d jobs of %d tasks; work offered %.1f s, completed %.1f s; "
-      "resubmitted %d jobs, differing answers %d.\n\n",
+      "resubmitted on purpose %d jobs, after no answer %d times, differing answers %d.\n\n",
       report.totals.jobs, report.totals.tasks, report.totals.completed_jobs,
       report.totals.completed_tasks, report.totals.offered_work_s, report.totals.completed_work_s,
-      report.totals.resubmitted_jobs, report.totals.differing_answers);
+      report.totals.resubmitted_jobs, report.totals.lost_resubmissions,
+      report.totals.differing_answers);
   absl::StrAppend(&out, CountsTable("outcome", report.outcomes));
   if (!report.reasons.empty()) {
     absl::StrAppend(&out, CountsTable("reason of jobs not completed", report.reasons));
@@ -66,6 +81,7 @@
   if (report.window.has_value()) {
     absl::StrAppend(&out, "\n", WindowText(*report.window));
   }
+  out += CountersTable(report);
   for (const change_record& change : report.changes) {
     absl::StrAppendFormat(&out, "\n- %.1f s: %s %s, status %d, answered at %.1f s",
                           change.planned_ms / 1000, change.kind, change.subject, change.status,
--- a/utilities/wagtail_load/run_report.h
+++ b/utilities/wagtail_load/run_report.h
@@ -46,7 +46,8 @@
   double offered_work_s = 0;    ///< nominal task seconds
   double completed_work_s = 0;  ///< nominal task seconds
   uint64_t resubmitted_jobs = 0;
-  uint64_t differing_answers = 0;  ///< resubmissions that got another answer
+  uint64_t lost_resubmissions = 0;  ///< submissions repeated since no answer came
+  uint64_t differing_answers = 0;   ///< resubmissions that got another answer
 };
 
 /// One second of the run.
@@ -61,6 +62,13 @@
   distribution response_ms = {};  ///< of complete jobs that arrived in this second
 };
 
+/// How much a counter of the dispatcher grew during the run.
+struct counter_growth {
+  std::string name;
+  double growth = 0;           ///< over all processes asked
+  uint32_t missing_pages = 0;  ///< processes that did not tell at both ends of the run
+};
+
 /// A change that the operator made.
 struct change_record {
   std::string kind;
@@ -92,6 +100,7 @@
   distribution failure_ms;           ///< until the answer of jobs that did not complete
   distribution send_delay_ms;        ///< how late the tool itself was; large: too few workers
   std::vector<second_figures> seconds;
+  std::vector<counter_growth> counters;
   std::vector<change_record> changes;
   std::optional<change_window> window;
 };
--- a/utilities/wagtail_load/run_report_json.cc
+++ b/utilities/wagtail_load/run_report_json.cc
@@ -21,10 +21,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(named_count, name, count)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(run_totals, jobs, tasks, completed_jobs, completed_tasks,
                                    offered_work_s, completed_work_s, resubmitted_jobs,
-                                   differing_answers)
+                                   lost_resubmissions, differing_answers)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(second_figures, second, arrived_jobs, completed_jobs,
                                    failed_jobs, completed_tasks, arrived_work_s, completed_work_s,
                                    response_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(counter_growth, name, growth, missing_pages)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_record, kind, subject, planned_ms, answered_ms, status,
                                    answer)
 
@@ -60,6 +61,7 @@
          {"failure_ms", report.failure_ms},
          {"send_delay_ms", report.send_delay_ms},
          {"seconds", report.seconds},
+         {"counters", report.counters},
          {"changes", report.changes}};
   if (report.window.has_value()) {
     out["window"] = *report.window;
@@ -76,6 +78,7 @@
   in.at("failure_ms").get_to(report.failure_ms);
   in.at("send_delay_ms").get_to(report.send_delay_ms);
   in.at("seconds").get_to(report.seconds);
+  in.at("counters").get_to(report.counters);
   in.at("changes").get_to(report.changes);
   if (in.contains("window")) {
     report.window = in.at("window").get<change_window>();
--- a/utilities/wagtail_load/scenario.cc
+++ b/utilities/wagtail_load/scenario.cc
@@ -17,6 +17,8 @@
 using std::chrono::minutes;
 
 constexpr size_t kMaxListItems = 100;
+constexpr size_t kMaxPages = 4000;
+constexpr uint64_t kMaxResubmissions = 5;
 constexpr value_range<double> kWeights{.least = 0.001, .most = 1e6};
 constexpr value_range<duration> kTimesOfRun{.least = milliseconds(0), .most = hours(24)};
 
@@ -93,11 +95,13 @@
 }
 
 void ReadSending(object_reader& reader, scenario& plan) {
-  plan.entries = reader.Texts("entries", kMaxListItems,
-                              {.allowed = "http://IP:PORT without a path", .accept = IsEntryUrl});
+  const text_rule url_rule{.allowed = "http://IP:PORT without a path", .accept = IsEntryUrl};
+  plan.entries = reader.Texts("entries", kMaxListItems, url_rule);
   if (plan.entries.empty()) {
     reader.Refuse("entries", "at least one");
   }
+  plan.metrics_pages = reader.Texts("metrics_pages", kMaxPages, url_rule);
+  plan.counters = reader.Texts("counters", kMaxListItems);
   plan.token = secret(reader.RequiredSecret("token"));
   if (reader.Has("operator_token")) {
     plan.operator_token = secret(reader.RequiredSecret("operator_token"));
@@ -122,6 +126,11 @@
     plan.job_deadline = reader.Milliseconds("deadline_ms", milliseconds(0),
                                             {.least = milliseconds(1), .most = hours(1)});
   }
+  plan.ids = reader.Choice<id_source>(
+      "ids", id_source::kMinted, {{"minted", id_source::kMinted}, {"own", id_source::kOwnKeys}});
+  auto resubmissions =
+      reader.Unsigned("resubmissions_when_lost", 1, {.least = 0, .most = kMaxResubmissions});
+  plan.resubmissions_when_lost = static_cast<uint32_t>(resubmissions);
   plan.resubmitted_share = reader.Number("resubmitted_share", 0, {.least = 0, .most = 1});
   reader.Object("ideal", [&](object_reader& ideal) {
     plan.ideal.fastest_speed = ideal.Number("fastest_speed", 1, {.least = 0.01, .most = 1000});
@@ -137,6 +146,8 @@
   out["length"] = plan.length.count();
   out["deadline"] = plan.job_deadline.value_or(duration::zero()).count();
   out["resubmitted_share"] = plan.resubmitted_share;
+  out["resubmissions_when_lost"] = plan.resubmissions_when_lost;
+  out["own_keys"] = plan.ids == id_source::kOwnKeys;
   out["ideal"] = {plan.ideal.fastest_speed, plan.ideal.overhead.count()};
   for (const auto& phase : plan.arrivals) {
     out["arrivals"].push_back({phase.from.count(), phase.jobs_per_second});
--- a/utilities/wagtail_load/scenario.h
+++ b/utilities/wagtail_load/scenario.h
@@ -40,6 +40,12 @@
   double jobs_per_second = 0;
 };
 
+/// Where job ids come from.
+enum class id_source {
+  kMinted,   ///< minted by the entries ahead of need, sent with PUT
+  kOwnKeys,  ///< idempotency keys of the caller's own, sent with POST
+};
+
 enum class operator_change { kLeaveDomain, kReturnDomain };
 
 /// A change that the operator makes during the run.
@@ -70,7 +76,10 @@
   std::vector<job_size_share> job_sizes;
   std::vector<run_time_share> run_times;
   std::optional<duration> job_deadline;  ///< sent with each job
-  double resubmitted_share = 0;          ///< jobs sent to a second entry too, with the same id
+  id_source ids = id_source::kMinted;
+  double resubmitted_share = 0;  ///< jobs sent to a second entry too, with the same id
+  uint32_t resubmissions_when_lost =
+      1;  ///< to the next entry, under the same id, without an answer
   ideal_model ideal;
   std::vector<domain_capacity> domains;
   std::vector<operator_action> actions;
@@ -78,7 +87,9 @@
   std::vector<std::string> entries;  ///< http://IP:PORT without a path
   secret token;
   secret operator_token;
-  uint32_t workers = 0;  ///< calls in progress at once at most
+  std::vector<std::string> metrics_pages;  ///< http://IP:PORT; the entries when none is named
+  std::vector<std::string> counters;       ///< names of counters to read before and after
+  uint32_t workers = 0;                    ///< calls in progress at once at most
   duration call_timeout{};
 };
 
--- a/utilities/wagtail_load/statistics.cc
+++ b/utilities/wagtail_load/statistics.cc
@@ -89,6 +89,7 @@
     totals_.tasks += job.tasks.size();
     totals_.offered_work_s += WorkOf(job);
     totals_.resubmitted_jobs += job.resubmitted ? 1 : 0;
+    totals_.lost_resubmissions += record.resubmissions;
     totals_.differing_answers += record.answers_differ ? 1 : 0;
     ++outcomes_[record.outcome];
     if (IsComplete(record)) {
