Tell placement how many tasks wait, and let entries really register

Voters stayed 0: the tick that registers an entry was not posted and the row 'voters' was not watched. A TRY inside braces leaks with g++ 12. Ruled out: refusals by the slow targets (40 in all).

--- a/libraries/base/try.h
+++ b/libraries/base/try.h
@@ -25,7 +25,9 @@
 }  // namespace wagtail::internal
 
 /// Evaluates to the value of an OK `expression`; returns its status from the enclosing function
-/// otherwise. Uses the GNU statement expression that both supported compilers offer.
+/// otherwise. Uses the GNU statement expression that both supported compilers offer. Use it as a
+/// statement or as the whole initialiser of a variable: inside a braced initialiser g++ 12 leaks
+/// the members that were already built when it returns.
 #define TRY(expression)                                            \
   ({                                                               \
     auto try_result = (expression);                                \
--- a/libraries/dispatch/dispatcher.cc
+++ b/libraries/dispatch/dispatcher.cc
@@ -274,6 +274,7 @@
   auto queue = waiting_.find(job.submission.tasks.at(key.index).service);
   VERIFY(queue != waiting_.end());
   queue->second.tasks.push_front(key);
+  ++queue->second.waiting;
   task.progress = task_progress::kWaiting;
   ++waiting_count_;
 }
@@ -339,6 +340,7 @@
     queue.requirements = need->requirements;
   }
   queue.tasks.push_back({.job = job.submission.key, .index = index});
+  ++queue.waiting;
   ++waiting_count_;
 }
 
@@ -350,6 +352,7 @@
 
 void dispatcher::PumpService(std::string_view service, waiting_queue& queue, instant now) {
   DropStale(queue);
+  placement_->SetWaiting(service, queue.waiting);
   while (!queue.tasks.empty()) {
     task_key key = queue.tasks.front();
     if (IsWaiting(key) && !OfferTask(service, queue, key, *jobs_.Find(key.job), now)) {
@@ -366,13 +369,19 @@
 }
 
 void dispatcher::DropStale(waiting_queue& queue) {
-  if (queue.tasks.size() > 2 * waiting_count_ + kStaleSlack) {
+  if (queue.tasks.size() > 2 * size_t{queue.waiting} + kStaleSlack) {
     std::erase_if(queue.tasks, [this](const task_key& key) { return !IsWaiting(key); });
   }
 }
 
-bool dispatcher::OfferTask(std::string_view service, const waiting_queue& queue,
-                           const task_key& key, owned_job& job, instant now) {
+void dispatcher::NoLongerWaiting(waiting_queue& queue) {
+  VERIFY(queue.waiting > 0 && waiting_count_ > 0);
+  --queue.waiting;
+  --waiting_count_;
+}
+
+bool dispatcher::OfferTask(std::string_view service, waiting_queue& queue, const task_key& key,
+                           owned_job& job, instant now) {
   owned_task& task = job.tasks.at(key.index);
   std::vector<target_incarnation> excluded = ExcludedFor(job, task);
   std::optional<target_incarnation> target =
@@ -385,8 +394,7 @@
   VERIFY(task.progress == task_progress::kWaiting);
   task.progress = task_progress::kSent;
   task.target = *target;
-  VERIFY(waiting_count_ > 0);
-  --waiting_count_;
+  NoLongerWaiting(queue);
   ++job.handed_over;
   known.handed_over.insert(key);
   placement_->OnSent(*target, now);
@@ -452,7 +460,9 @@
     if (task.progress == task_progress::kSent) {
       actions_.emplace_back(withdraw_action{task.target, RequestFor(job, index)});
     } else if (!IsHandedOver(task.progress) && !IsKnownStarted(task)) {
-      waiting_count_ -= task.progress == task_progress::kWaiting ? 1 : 0;
+      if (task.progress == task_progress::kWaiting) {
+        NoLongerWaiting(waiting_.find(job.submission.tasks[index].service)->second);
+      }
       task.progress = task_progress::kDropped;
     }
     task.body.clear();
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -116,7 +116,8 @@
   };
   struct waiting_queue {
     target_requirements requirements;
-    std::deque<task_key> tasks;
+    std::deque<task_key> tasks;  ///< tasks of ended jobs among them
+    uint32_t waiting = 0;        ///< tasks that really wait
   };
   struct deadline_entry {
     instant at;
@@ -131,7 +132,8 @@
   void PumpService(std::string_view service, waiting_queue& queue, instant now);
   bool IsWaiting(const task_key& key);
   void DropStale(waiting_queue& queue);
-  bool OfferTask(std::string_view service, const waiting_queue& queue, const task_key& key,
+  void NoLongerWaiting(waiting_queue& queue);
+  bool OfferTask(std::string_view service, waiting_queue& queue, const task_key& key,
                  owned_job& job, instant now);
   std::vector<target_incarnation> ExcludedFor(const owned_job& job, const owned_task& task) const;
   start_request RequestFor(const owned_job& job, uint32_t index) const;
--- a/libraries/entry/configuration_controller.cc
+++ b/libraries/entry/configuration_controller.cc
@@ -32,8 +32,8 @@
   if (row == changes.rows.end() || !row->value.has_value()) {
     return stored_configuration{};
   }
-  return stored_configuration{.record = TRY(ParseConfigurationRecord(*row->value)),
-                              .revision = row->revision};
+  configuration_record record = TRY(ParseConfigurationRecord(*row->value));
+  return stored_configuration{.record = std::move(record), .revision = row->revision};
 }
 
 absl::StatusOr<std::vector<audit_record>> ReadAudit(table& table) {
--- a/libraries/entry/entry_daemon.cc
+++ b/libraries/entry/entry_daemon.cc
@@ -244,7 +244,11 @@
                 .state = state};
   table_transaction write;
   write.writes.push_back({.key = EntryKey(options.name), .value = Serialise(row)});
-  bool committed = platform_table.Commit(write).ok();
+  absl::StatusOr<uint64_t> written = platform_table.Commit(write);
+  bool committed = written.ok();
+  if (!committed) {
+    LogFact(log_level::kWarning, "registration_failed", {{"error", MessageOf(written.status())}});
+  }
   loop.Post([this, committed] {
     registered = registered || committed;
     registration_under_way = false;
@@ -326,6 +330,7 @@
                                       [parts = parts_.get()](const table_round& round) {
                                         parts->loop.Post([parts, round] { parts->OnRound(round); });
                                       });
+  parts_->loop.Post([parts = parts_.get()] { parts->Tick(); });
   return absl::OkStatus();
 }
 
--- a/libraries/entry/table_watcher.cc
+++ b/libraries/entry/table_watcher.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 3> kWatchedPrefixes = {"configuration", "target/", "entry/"};
+constexpr std::array<std::string_view, 4> kWatchedPrefixes = {"configuration", "voters", "target/", "entry/"};
 
 }  // namespace
 
--- a/libraries/target/announcer.cc
+++ b/libraries/target/announcer.cc
@@ -13,8 +13,8 @@
   auto known = std::ranges::find(present.rows, key, &table_row::key);
   std::optional<recorded_target_row> previous;
   if (known != present.rows.end() && known->value.has_value()) {
-    previous = recorded_target_row{.row = TRY(ParseTargetRow(key, *known->value)),
-                                   .revision = known->revision};
+    target_row row = TRY(ParseTargetRow(key, *known->value));
+    previous = recorded_target_row{.row = std::move(row), .revision = known->revision};
   }
   target_row row = TRY(NextAnnouncement(wanted, previous));
   uint64_t expected = previous.has_value() ? previous->revision : 0;
