--- a/libraries/http/http_client.h
+++ b/libraries/http/http_client.h
@@ -14,10 +14,10 @@
   std::string url{};  ///< http://IP:PORT/path?query, already percent-encoded
   http_fields headers{};
   std::string body{};
-  duration timeout = std::chrono::seconds(5);  ///< for the whole call
+  duration timeout = std::chrono::seconds(5);  ///< rounded up to whole seconds
 };
 
-/// Makes one blocking call with ulfius.
+/// Makes one blocking call with ulfius, over a connection of its own; follows no redirect.
 /// @return the answer whatever its status code, or http_error: kConnectFailed when the request
 ///   certainly did not reach the peer, kNoAnswer when it may have (time-out, connection lost)
 absl::StatusOr<http_response> CallHttp(const http_call& call);
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -28,10 +28,9 @@
 constexpr int kHandlerFailed = 500;
 constexpr int kStopping = 503;
 /// Idle connections are closed after this; also bounds how long a silent peer holds a thread.
-constexpr unsigned kIdleConnectionSeconds = 300;
+constexpr unsigned kIdleConnectionSeconds = 60;
 /// A connection that sends nothing is handed to the server only after this.
 constexpr int kDeferAcceptSeconds = 10;
-constexpr duration kDrainLimit = std::chrono::seconds(30);
 
 http_fields FieldsOf(const _u_map* map, bool lower_names) {
   http_fields fields;
@@ -209,7 +208,7 @@
   {
     std::unique_lock lock(mutex);
     stopping = true;
-    drained.wait_for(lock, kDrainLimit, [this] { return in_progress == 0; });
+    drained.wait_for(lock, options.drain_limit, [this] { return in_progress == 0; });
   }
   ulfius_stop_framework(&instance);
   ulfius_clean_instance(&instance);
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -6,15 +6,17 @@
 #include <string>
 
 #include "absl/status/statusor.h"
+#include "base/time.h"
 #include "http/http_message.h"
 
 namespace wagtail {
 
 struct http_server_options {
-  std::string address = "127.0.0.1";  ///< IPv4 address to listen on
-  uint16_t port = 0;                  ///< 0 takes an ephemeral port
-  size_t max_body_bytes = 4 << 20;    ///< larger requests are answered 413
-  unsigned max_connections = 512;
+  std::string address = "127.0.0.1";                ///< IPv4 address to listen on
+  uint16_t port = 0;                                ///< 0 takes an ephemeral port
+  size_t max_body_bytes = 4 << 20;                  ///< larger requests are answered 413
+  unsigned max_connections = 512;                   ///< further ones are closed without an answer
+  duration drain_limit = std::chrono::seconds(30);  ///< Stop waits this long for answers to leave
 };
 
 /// HTTP server on ulfius with one handler for every path; a thread per connection.
@@ -32,7 +34,10 @@
 
   /// @return the port in use, also when an ephemeral one was asked for
   uint16_t port() const;
-  /// Stops listening, waits for requests in progress and ends; idempotent.
+  /// Stops listening, waits for requests in progress and ends; idempotent. Later requests on
+  /// connections that are still open are answered 503 without calling the handler. Past the drain
+  /// limit connections are closed, but handlers are waited for all the same. Not to be called from
+  /// a handler.
   void Stop();
 
  private:
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -209,6 +209,32 @@
   CheckError(CallHttp({.url = Url(server->port(), "/")}), http_error::kConnectFailed);
 }
 
+TEST(Http, ConnectionsBeyondTheLimitGetNoAnswerAndLeaveTheServerWhole) {
+  std::latch inside(2);
+  std::latch release(1);
+  auto server = Serve(
+      [&](const http_request& request) {
+        if (request.path == "/hold") {
+          inside.count_down();
+          release.wait();
+        }
+        return http_response{};
+      },
+      {.max_connections = 2});
+  auto hold = [&server] { VERIFY(CallHttp({.url = Url(server->port(), "/hold")}).ok()); };
+  std::jthread first(hold);
+  std::jthread second(hold);
+  inside.wait();
+  CheckError(CallHttp({.url = Url(server->port(), "/"), .timeout = std::chrono::seconds(1)}),
+             http_error::kNoAnswer);
+  release.count_down();
+  first.join();
+  second.join();
+  // The server counts a connection until it has seen its end.
+  while (!CallHttp({.url = Url(server->port(), "/")}).ok()) {
+  }
+}
+
 TEST(Http, APortInUseIsReported) {
   auto server = Serve([](const http_request&) { return http_response{}; });
   auto second = http_server::Start({.port = server->port()},
