--- a/libraries/entry/table_watcher.cc
+++ b/libraries/entry/table_watcher.cc
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> kWatchedPrefixes = {"configuration", "voters", "target/", "entry/"};
+constexpr std::array<std::string_view, 4> kWatchedPrefixes = {"configuration", "voters", "target/",
+                                                              "entry/"};
 
 }  // namespace
 
