--- a/libraries/dispatch/dispatcher.cc
+++ b/libraries/dispatch/dispatcher.cc
@@ -203,6 +203,7 @@
   placement_->OnResult(target, outcome, result.run_time, load, now);
   owned_job& job = *jobs_.Find(result.key.job);
   Release(target, job, result.key);
+  job.longest_in_stage = std::max(job.longest_in_stage, result.run_time);
   TaskEnded(job, result.key, result.completed, std::move(result.body),
             result.timed_out ? "task_timed_out" : "task_failed");
   Pump(now);
@@ -298,6 +299,7 @@
     return;
   }
   ++job.stage;
+  job.run_time += std::exchange(job.longest_in_stage, duration::zero());
   OpenStage(job);
 }
 
@@ -437,6 +439,7 @@
   VERIFY(job.handed_over == 0);
   job_answer answer{.outcome = job_outcome::kComplete, .reason = "", .results = {}};
   answer.started = static_cast<uint32_t>(job.tasks.size());
+  answer.run_time = job.run_time;
   for (uint32_t index = 0; index < job.tasks.size(); ++index) {
     owned_task& task = job.tasks[index];
     VERIFY(task.progress == task_progress::kCompleted);
--- a/libraries/dispatch/job_table.h
+++ b/libraries/dispatch/job_table.h
@@ -45,6 +45,8 @@
   uint32_t open_in_stage = 0;  ///< tasks of the present stage that are not complete
   uint32_t handed_over = 0;    ///< tasks in kSent or kUnsettled
   size_t answer_bytes = 0;
+  duration longest_in_stage{};  ///< run time of the longest task of the present stage
+  duration run_time{};          ///< the same of the stages before, added up
 
   bool has_ended() const { return answer.has_value(); }
 };
--- a/libraries/entry/entry_context.h
+++ b/libraries/entry/entry_context.h
@@ -7,12 +7,12 @@
 #include "base/identifiers.h"
 #include "entry/configuration_controller.h"
 #include "entry/dispatch_controller.h"
+#include "entry/entry_metrics.h"
 #include "entry/entry_view.h"
 #include "entry/freshness_controller.h"
 #include "entry/peer_links.h"
 #include "entry/recovery_controller.h"
 #include "membership/target_registry.h"
-#include "metrics/metrics_registry.h"
 #include "rpc/event_loop.h"
 #include "security/job_id_codec.h"
 #include "snapshot/snapshot_cell.h"
@@ -28,7 +28,7 @@
   event_loop& loop;
   table& platform_table;
   job_id_codec& ids;
-  metrics_registry& metrics;
+  entry_metrics& metrics;
   snapshot_cell<entry_view>& view;
   std::atomic<uint64_t>& next_sequence;
   std::atomic<uint64_t>& registry_revision;  ///< up to which the rows of targets are known
--- a/libraries/entry/entry_daemon.cc
+++ b/libraries/entry/entry_daemon.cc
@@ -9,10 +9,13 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
 #include "entry/answer_json.h"
 #include "entry/entry_context.h"
 #include "entry/entry_gate.h"
 #include "entry/job_api.h"
+#include "entry/key_binding.h"
 #include "entry/operator_api.h"
 #include "entry/table_watcher.h"
 #include "http/http_server.h"
@@ -26,6 +29,7 @@
 
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
+constexpr duration kSweepInterval = std::chrono::hours(1);
 constexpr duration kStopPoll = std::chrono::milliseconds(10);
 
 // The listening side of the RPC system, made and ended on the loop's thread.
@@ -55,6 +59,7 @@
   void OnTargetEvents(const table_changes& changes);
   void Tick();
   void Register();
+  void SweepOldKeys();
   void WriteRegistration(entry_state state);
   void PublishView();
   target_policy PolicyFor(const target_row& row, const target_report& report);
@@ -62,17 +67,20 @@
                                   uint64_t minted_uptime_ms);
   http_response Route(const http_request& request);
   http_response RouteJobs(const http_request& request);
+  http_response ShowMetrics();
 
   entry_daemon_options options;
   table& platform_table;
   entry_incarnation self{.nonce = RandomNonce64()};
   job_id_codec ids;
-  metrics_registry metrics;
+  metrics_registry registry;
+  entry_metrics metrics{registry};
   snapshot_cell<entry_view> view{std::make_unique<const entry_view>()};
   std::atomic<uint64_t> next_sequence = 0;
   std::atomic<uint64_t> registry_revision = 0;
   bool stopping = false;
   uint16_t rpc_port = 0;
+  instant next_sweep = MonotonicNow() + kSweepInterval;
   bool registered = false;
   bool registration_under_way = false;
   background_worker writer;
@@ -223,10 +231,24 @@
 
 void entry_daemon::parts::Tick() {
   Register();
+  SweepOldKeys();
   freshness->Tick();
   loop.After(options.freshness.period, [this] { Tick(); });
 }
 
+void entry_daemon::parts::SweepOldKeys() {
+  instant now = MonotonicNow();
+  if (now < next_sweep) {
+    return;
+  }
+  next_sweep = now + kSweepInterval;
+  writer.Post([this] {
+    absl::StatusOr<size_t> erased = SweepKeys(platform_table, absl::ToUnixSeconds(absl::Now()));
+    LogFact(log_level::kInfo, "keys_swept",
+            {{"erased", erased.ok() ? std::to_string(*erased) : MessageOf(erased.status())}});
+  });
+}
+
 void entry_daemon::parts::Register() {
   if (registered || registration_under_way || stopping) {
     return;
@@ -292,18 +314,40 @@
                     : RespondUnknown(kServiceUnavailable, "not_ready", "takes no work now");
   }
   if (path == "/metrics") {
-    http_response response{.status = 200, .headers = {}, .body = metrics.Write()};
-    response.headers["content-type"] = "text/plain; version=0.0.4";
-    return response;
+    return ShowMetrics();
   }
   return RespondUnknown(kNotFound, "no_such_endpoint", path);
 }
 
+http_response entry_daemon::parts::ShowMetrics() {
+  entry_figures figures;
+  loop.Run([this, &figures] {
+    dispatcher& decisions = dispatch->decisions();
+    figures.counters = decisions.counters();
+    figures.jobs_in_progress = decisions.jobs_in_progress();
+    figures.waiting_tasks = decisions.waiting_tasks();
+    figures.targets_linked =
+        static_cast<uint64_t>(std::ranges::count_if(dispatch->Targets(), &target_status::is_up));
+    figures.configuration_version = configuration.current().version;
+    figures.in_force = freshness->IsInForce();
+    if (std::optional<duration> age = freshness->Age(); age.has_value()) {
+      figures.evidence_age_seconds = ToSeconds(*age);
+    }
+  });
+  metrics.Update(figures);
+  http_response response{.status = 200, .headers = {}, .body = registry.Write()};
+  response.headers["content-type"] = "text/plain; version=0.0.4";
+  return response;
+}
+
 http_response entry_daemon::parts::RouteJobs(const http_request& request) {
   std::string_view path = request.path;
   if (request.method == "POST" && path == "/v1/job-ids") {
     return callers->MintIds(request);
   }
+  if (request.method == "POST" && path == "/v1/jobs") {
+    return callers->SubmitWithoutId(request);
+  }
   if (request.method == "PUT" && path.starts_with("/v1/jobs/")) {
     return callers->SubmitJob(request);
   }
--- /dev/null
+++ b/libraries/entry/entry_metrics.cc
@@ -0,0 +1,84 @@
+#include "entry/entry_metrics.h"
+
+#include <array>
+#include <utility>
+
+namespace wagtail {
+
+namespace {
+
+constexpr std::array kResponseBounds = {0.005, 0.01, 0.025, 0.05, 0.1,  0.25,
+                                        0.5,   1.0,  2.5,   5.0,  10.0, 30.0};
+constexpr std::array kRatioBounds = {1.01, 1.02, 1.05, 1.1, 1.2, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0};
+
+}  // namespace
+
+entry_metrics::entry_metrics(metrics_registry& registry)
+    : registry_(registry),
+      answers_(registry.Counters("wagtail_jobs_answered_total",
+                                 "Final answers given, by outcome and reason.")),
+      refusals_(registry.Counters("wagtail_requests_refused_total",
+                                  "Requests turned away before any task could start.")),
+      response_(registry
+                    .Histograms("wagtail_job_response_seconds",
+                                "Time from submission to the final answer.", kResponseBounds)
+                    .Add({})),
+      response_over_run_time_(
+          registry
+              .Histograms("wagtail_job_response_over_run_time_ratio",
+                          "Response time of complete jobs over the run time of their longest "
+                          "tasks, stage by stage.",
+                          kRatioBounds)
+              .Add({})) {}
+
+void entry_metrics::OnAnswer(const job_answer& answer, duration response) {
+  answers_
+      .Add({{"outcome", std::string(ToString(answer.outcome))},
+            {"reason", answer.reason.substr(0, answer.reason.find(':'))}})
+      .Increment();
+  response_.Observe(ToSeconds(response));
+  if (answer.outcome == job_outcome::kComplete && answer.run_time > duration::zero()) {
+    response_over_run_time_.Observe(ToSeconds(response) / ToSeconds(answer.run_time));
+  }
+}
+
+void entry_metrics::OnRefusal(std::string_view reason) {
+  refusals_.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void entry_metrics::Raise(std::string_view name, std::string_view help, uint64_t total) {
+  uint64_t& told = told_[std::string(name)];
+  registry_.Counters(name, help).Add({}).Increment(static_cast<double>(total - told));
+  told = total;
+}
+
+void entry_metrics::Update(const entry_figures& figures) {
+  std::scoped_lock lock(mutex_);
+  const dispatcher_counters& counters = figures.counters;
+  Raise("wagtail_jobs_accepted_total", "Jobs taken in.", counters.jobs_accepted);
+  Raise("wagtail_jobs_joined_total", "Submissions that joined a known job.", counters.jobs_joined);
+  Raise("wagtail_tasks_sent_total", "Tasks handed to targets' daemons.", counters.tasks_sent);
+  Raise("wagtail_tasks_refused_total", "Tasks that a daemon proved not to have started.",
+        counters.tasks_refused);
+  Raise("wagtail_tasks_unsettled_total", "Tasks whose link was lost before their end was told.",
+        counters.tasks_unsettled);
+  Raise("wagtail_tasks_lost_total", "Tasks whose outcome can't be known.", counters.tasks_lost);
+  auto show = [this](std::string_view name, std::string_view help, double value) {
+    registry_.Gauges(name, help).Add({}).Set(value);
+  };
+  show("wagtail_jobs_in_progress", "Jobs without a final answer.",
+       static_cast<double>(figures.jobs_in_progress));
+  show("wagtail_waiting_tasks", "Tasks that wait for a target.",
+       static_cast<double>(figures.waiting_tasks));
+  show("wagtail_targets_linked", "Targets with a standing link.",
+       static_cast<double>(figures.targets_linked));
+  show("wagtail_configuration_version", "Newest configuration known.",
+       static_cast<double>(figures.configuration_version));
+  show("wagtail_configuration_in_force", "1 if that version is in force everywhere.",
+       figures.in_force ? 1 : 0);
+  show("wagtail_configuration_evidence_age_seconds",
+       "Age of the evidence that it is the newest; negative without evidence.",
+       figures.evidence_age_seconds);
+}
+
+}  // namespace wagtail
--- /dev/null
+++ b/libraries/entry/entry_metrics.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+#include "dispatch/dispatcher.h"
+#include "jobs/job.h"
+#include "metrics/metrics_registry.h"
+
+namespace wagtail {
+
+/// What the loop's thread counts, copied for one exposition.
+struct entry_figures {
+  dispatcher_counters counters;
+  uint64_t jobs_in_progress = 0;
+  uint64_t waiting_tasks = 0;
+  uint64_t targets_linked = 0;
+  uint64_t configuration_version = 0;
+  double evidence_age_seconds = -1;  ///< negative: no evidence
+  bool in_force = false;
+};
+
+/// The metrics of an entry. Safe to use from any thread.
+class entry_metrics {
+ public:
+  /// @param registry outlives this object
+  explicit entry_metrics(metrics_registry& registry);
+
+  /// Counts the final answer of a job and how long its caller waited.
+  void OnAnswer(const job_answer& answer, duration response);
+  /// Counts a request that was turned away, by its stable reason.
+  void OnRefusal(std::string_view reason);
+  /// Brings counters and gauges up to date.
+  void Update(const entry_figures& figures);
+
+ private:
+  void Raise(std::string_view name, std::string_view help, uint64_t total);
+
+  metrics_registry& registry_;
+  family<counter>& answers_;
+  family<counter>& refusals_;
+  histogram& response_;
+  histogram& response_over_run_time_;
+  std::mutex mutex_;
+  std::map<std::string, uint64_t, std::less<>> told_;
+};
+
+}  // namespace wagtail
--- a/libraries/entry/job_api.cc
+++ b/libraries/entry/job_api.cc
@@ -5,7 +5,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
 #include "entry/answer_json.h"
+#include "entry/key_binding.h"
 #include "security/digest.h"
 #include "settings/settings_text.h"
 
@@ -45,6 +48,8 @@
   auto check_body = [this](job_request& request) { return CheckBody(request); };
   auto check_services = [this](job_request& request) { return CheckServices(request); };
   submit_chain_ = {authenticate, check_id, check_body, check_services};
+  submit_without_id_chain_ = {authenticate, check_body, check_services,
+                              [this](job_request& request) { return BindId(request); }};
   cancel_chain_ = {authenticate, check_id};
 }
 
@@ -127,6 +132,7 @@
                                 const std::function<void(respond_hook)>& last) {
   for (const job_filter& filter : chain) {
     if (std::optional<http_response> answer = filter(request); answer.has_value()) {
+      context_.metrics.OnRefusal(std::to_string(answer->status));
       return *std::move(answer);
     }
   }
@@ -138,13 +144,58 @@
   return answer.get();
 }
 
-http_response job_api::SubmitJob(const http_request& request) {
+http_response job_api::RunSubmission(const std::vector<job_filter>& chain,
+                                     const http_request& request) {
   job_request job{.http = request, .team = "", .submission = {}};
-  return RunChain(submit_chain_, job, [this, &job](respond_hook respond) {
-    jobs_.Submit(std::move(job.submission), std::move(respond));
+  return RunChain(chain, job, [this, &job](const respond_hook& respond) {
+    jobs_.Submit(std::move(job.submission), respond);
   });
 }
 
+http_response job_api::SubmitJob(const http_request& request) {
+  return RunSubmission(submit_chain_, request);
+}
+
+http_response job_api::SubmitWithoutId(const http_request& request) {
+  return RunSubmission(submit_without_id_chain_, request);
+}
+
+std::optional<http_response> job_api::BindId(job_request& request) {
+  std::string id = MintId(request.team);
+  auto key = request.http.headers.find("idempotency-key");
+  if (key != request.http.headers.end()) {
+    if (key->second.empty() || key->second.size() > kMaxKeyBytes) {
+      return RespondWith({.status = kUnprocessable,
+                          .error = "bad_key",
+                          .message = "idempotency-key takes 1 to 256 bytes"});
+    }
+    key_binding wanted{.job_id = id,
+                       .digest = DigestOf(request.submission.raw_body),
+                       .bound_at_s = absl::ToUnixSeconds(absl::Now())};
+    absl::StatusOr<key_binding> bound =
+        BindKey(context_.platform_table, request.team, key->second, wanted);
+    if (!bound.ok()) {
+      // Whatever became of the binding, nothing was submitted under the id just minted.
+      return RespondWith({.status = kServiceUnavailable,
+                          .error = "key_not_bound",
+                          .message = MessageOf(bound.status()),
+                          .retry_after = kNotReadyRetry});
+    }
+    if (bound->digest != wanted.digest) {
+      return RespondUnknown(kUnprocessable, "key_used_for_another_body",
+                            "the idempotency key was used before with another body");
+    }
+    id = bound->job_id;
+  }
+  absl::StatusOr<job_id> decoded = context_.ids.Decode(id);
+  if (!decoded.ok()) {
+    return RespondUnknown(kServiceUnavailable, "binding_unreadable", MessageOf(decoded.status()));
+  }
+  request.submission.id = *std::move(decoded);
+  request.submission.id_text = id;
+  return std::nullopt;
+}
+
 http_response job_api::CancelJob(const http_request& request) {
   job_request job{.http = request, .team = "", .submission = {}};
   return RunChain(cancel_chain_, job, [this, &job](const respond_hook& respond) {
--- a/libraries/entry/job_api.h
+++ b/libraries/entry/job_api.h
@@ -35,6 +35,8 @@
   http_response MintIds(const http_request& request);
   /// PUT /v1/jobs/ID
   http_response SubmitJob(const http_request& request);
+  /// POST /v1/jobs, with the caller's own key in the header idempotency-key or without one
+  http_response SubmitWithoutId(const http_request& request);
   /// POST /v1/jobs/ID/cancel
   http_response CancelJob(const http_request& request);
 
@@ -43,13 +45,16 @@
   std::optional<http_response> CheckId(job_request& request) const;
   std::optional<http_response> CheckBody(job_request& request) const;
   std::optional<http_response> CheckServices(job_request& request) const;
+  std::optional<http_response> BindId(job_request& request);
   http_response RunChain(const std::vector<job_filter>& chain, job_request& request,
                          const std::function<void(respond_hook)>& last);
+  http_response RunSubmission(const std::vector<job_filter>& chain, const http_request& request);
   std::string MintId(const std::string& team);
 
   entry_context& context_;
   job_service& jobs_;
   std::vector<job_filter> submit_chain_;
+  std::vector<job_filter> submit_without_id_chain_;
   std::vector<job_filter> cancel_chain_;
 };
 
--- a/libraries/entry/job_service.cc
+++ b/libraries/entry/job_service.cc
@@ -48,7 +48,9 @@
         {.status = kUnprocessable, .error = "unknown_service", .message = MessageOf(filled)}));
     return;
   }
-  auto answer = [respond, id = submission.id_text](const job_answer& answer) {
+  auto answer = [this, respond, id = submission.id_text,
+                 submitted_at = MonotonicNow()](const job_answer& answer) {
+    context_.metrics.OnAnswer(answer, MonotonicNow() - submitted_at);
     respond(RespondWith(id, answer));
   };
   switch (context_.dispatch.Submit(std::move(job), answer)) {
--- a/libraries/jobs/job.h
+++ b/libraries/jobs/job.h
@@ -63,6 +63,7 @@
   std::string reason;                ///< empty when complete
   uint32_t started = 0;              ///< tasks known to have been started
   duration retry_after{};            ///< when a new job may be worth trying; zero: no advice
+  duration run_time{};               ///< of the longest task of each stage, added up
   std::vector<task_answer> results;  ///< every task when complete, else empty
 };
 
