--- a/libraries/configuration/configuration_text.cc
+++ b/libraries/configuration/configuration_text.cc
@@ -40,8 +40,12 @@
   return requirements;
 }
 
-/// Each time bounds the next; an equal pair is accepted.
+/// Each time bounds the next; an equal pair is accepted. A refused value has been replaced by its
+/// default, which proves nothing about the others.
 void CheckTimes(const service_configuration& service, object_reader& reader) {
+  if (!reader.IsClean()) {
+    return;
+  }
   if (service.expected_run > service.task_timeout) {
     reader.Refuse("expected_run_ms", absl::StrCat("at most task_timeout_ms, which is ",
                                                   ToMilliseconds(service.task_timeout)));
--- a/libraries/settings/object_reader.cc
+++ b/libraries/settings/object_reader.cc
@@ -62,7 +62,8 @@
 object_reader::object_reader(const json& object, std::string path, settings_problems* problems)
     : object_(object.is_object() ? object : EmptyObject()),
       path_(std::move(path)),
-      problems_(problems) {
+      problems_(problems),
+      problems_before_(problems->size()) {
   if (!object.is_object()) {
     Note(path_, ShownValue(object), kObjectAllowed);
   }
--- a/libraries/settings/object_reader.h
+++ b/libraries/settings/object_reader.h
@@ -102,7 +102,8 @@
   /// Notes every key that no getter asked for. Called by the hooks' callers for nested objects.
   void Finish();
 
-  const std::string& path() const { return path_; }
+  /// @return whether this object, with those nested in it, has had no problem so far
+  bool IsClean() const { return problems_->size() == problems_before_; }
 
  private:
   const nlohmann::json* Find(std::string_view key);
@@ -121,6 +122,7 @@
   const nlohmann::json& object_;
   std::string path_;
   settings_problems* problems_;
+  size_t problems_before_;
   std::set<std::string, std::less<>> asked_;
   other_keys other_keys_ = other_keys::kRefused;
 };
--- a/tests/configuration/configuration_text_test.cc
+++ b/tests/configuration/configuration_text_test.cc
@@ -127,6 +127,12 @@
   }
 }
 
+TEST(ConfigurationText, ARefusedTimeIsNotComparedWithOthers) {
+  const std::string message =
+      MessageFor(Replaced("\"task_timeout_ms\": 2000", "\"task_timeout_ms\": 0"));
+  CHECK(message.find("job_deadline_ms") == std::string::npos);
+}
+
 TEST(ConfigurationText, MissingSectionsAreNamed) {
   const std::string message = MessageFor("{}");
   for (const char* path :
--- /dev/null
+++ b/tests/configuration/mutation_test.cc
@@ -0,0 +1,154 @@
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <regex>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_split.h"
+#include "configuration/audit_record.h"
+#include "configuration/configuration_difference.h"
+#include "configuration/configuration_record.h"
+#include "configuration/configuration_text.h"
+#include "configuration/stage_order.h"
+#include "tests/configuration/sample_text.h"
+// Last: CppUTest's macros must not reach the library headers.
+#include <CppUTest/TestHarness.h>
+
+namespace wagtail {
+
+namespace {
+
+constexpr size_t kMaxMutations = 4;
+
+const std::vector<std::string>& Fragments() {
+  static const std::vector<std::string> kFragments = {"{",
+                                                      "}",
+                                                      "[",
+                                                      "]",
+                                                      ",",
+                                                      ":",
+                                                      "\"",
+                                                      "//",
+                                                      "/*",
+                                                      "*/",
+                                                      "\\u0000",
+                                                      "\\ud800",
+                                                      "1e999",
+                                                      "-0",
+                                                      "18446744073709551616",
+                                                      "null",
+                                                      "true",
+                                                      "{}",
+                                                      "[]",
+                                                      "\"services\"",
+                                                      "\"depends_on\"",
+                                                      "\"court-control\"",
+                                                      "\"report\"",
+                                                      "\"a/~b\": 1,",
+                                                      std::string(1, '\0'),
+                                                      "\xff",
+                                                      "\xef\xbb\xbf",
+                                                      "\n",
+                                                      std::string(300, '['),
+                                                      std::string(300, 'x')};
+  return kFragments;
+}
+
+/// Replaces a piece of `text`, which may be empty, by a fragment, a byte or another piece of it.
+std::string Mutated(std::string text) {
+  const auto start = *rc::gen::inRange<size_t>(0, text.size() + 1);
+  const auto length = *rc::gen::element<size_t>(0, 0, 1, 1, 2, 8, 40);
+  const auto piece = *rc::gen::inRange<size_t>(0, text.size() + 1);
+  const auto choice = *rc::gen::inRange(0, 3);
+  std::string put = text.substr(piece, length);
+  if (choice == 0) {
+    put = *rc::gen::elementOf(Fragments());
+  } else if (choice == 1) {
+    put = std::string(1, *rc::gen::arbitrary<char>());
+  }
+  return text.replace(start, length, put);
+}
+
+std::string MutatedOften(std::string text) {
+  const auto mutations = *rc::gen::inRange<size_t>(1, kMaxMutations + 1);
+  for (size_t done = 0; done < mutations; ++done) {
+    text = Mutated(std::move(text));
+  }
+  return text;
+}
+
+/// @return whether each line of `message` names a JSON path, or a line of the text
+bool NamesPlaces(const std::string& message, const std::string& file) {
+  static const std::regex kPlace(
+      "[^:]+(:[0-9]+:[0-9]+: .+|: /.*: .+; allowed: .+|: [0-9]+ more problems)");
+  const std::vector<std::string> lines = absl::StrSplit(message, '\n');
+  return std::ranges::all_of(lines, [&](const std::string& line) {
+    return line.starts_with(file) && std::regex_match(line, kPlace);
+  });
+}
+
+/// Uses an accepted text in every way that the daemons and tools do.
+void CheckAccepted(const configuration& parsed, const std::string& text) {
+  std::vector<std::string> used;
+  std::ranges::transform(parsed.services, std::back_inserter(used),
+                         [](const auto& service) { return service.first; });
+  RC_ASSERT(StageOrder(parsed, used).ok());
+  RC_ASSERT(DiffConfigurations(parsed, parsed).empty());
+  configuration_record record;
+  record.version = 1;
+  record.text = text;
+  record.change_id = "c-1";
+  record.author = "amara";
+  const absl::StatusOr<configuration_record> read = ParseConfigurationRecord(Serialize(record));
+  RC_ASSERT(read.ok());
+  RC_ASSERT(*read == record);
+}
+
+}  // namespace
+
+TEST_GROUP(Mutation){};
+
+TEST(Mutation, AMutatedTextIsAcceptedWholeOrRefusedWithItsPlaces) {
+  CHECK(rc::check("no mutation breaks the parser", [] {
+    const std::string text = MutatedOften(std::string(kSampleText));
+    const absl::StatusOr<configuration> parsed = ParseConfiguration(text, "op.jsonc");
+    if (parsed.ok()) {
+      CheckAccepted(*parsed, text);
+    } else {
+      RC_ASSERT(ErrorOf<configuration_error>(parsed.status()) == configuration_error::kInvalidText);
+      RC_ASSERT(NamesPlaces(MessageOf(parsed.status()), "op.jsonc"));
+    }
+  }));
+}
+
+TEST(Mutation, MutatedRowsAndRequestsAreReadWholeOrRefused) {
+  configuration_record record = {.version = 3,
+                                 .text = std::string(kSampleText),
+                                 .leaving_failure_domains = {"kandy-1"},
+                                 .leaving_targets = {"t-1"},
+                                 .change_id = "c-1",
+                                 .author = "amara"};
+  const configuration_change change = {.change_id = "c-1",
+                                       .author = "amara",
+                                       .base_version = 2,
+                                       .kind = change_kind::kLeaveTarget,
+                                       .text = {},
+                                       .subject = "t-1"};
+  const std::string row = Serialize(record);
+  const std::string request = SerializeChangeRequest(change);
+  const std::string audit = Serialize(AuditOfCommitted(change, "2026-12-04T02:15:00Z"));
+  CHECK(rc::check("no mutation breaks a reader", [&] {
+    const absl::Status failures[] = {ParseConfigurationRecord(MutatedOften(row)).status(),
+                                     ParseChangeRequest(MutatedOften(request)).status(),
+                                     ParseAuditRecord(MutatedOften(audit)).status()};
+    for (const absl::Status& failure : failures) {
+      const auto error = ErrorOf<configuration_error>(failure);
+      RC_ASSERT(failure.ok() == !error.has_value());
+      RC_ASSERT(error.value_or(configuration_error::kInvalidRecord) ==
+                configuration_error::kInvalidRecord);
+    }
+  }));
+}
+
+}  // namespace wagtail
--- a/tests/wagtailctl/change_commands_test.cc
+++ b/tests/wagtailctl/change_commands_test.cc
@@ -50,7 +50,14 @@
 TEST(ChangeCommands, AConflictNamesTheOtherChange) {
   run.entry.ChangeByOther(change_kind::kLeaveTarget, "t-1", "other-change");
   const command_result result = run.Run({"leave", "domain", "kandy-1", "--base", "4", "--json"});
-  CheckFailed(result, "operator nuwan made version 5 first, with change other-change");
+  CheckFailed(result, "operator nuwan made version 5 with change other-change");
+  STRCMP_CONTAINS("\"error\":\"conflict\"", result.out.c_str());
+}
+
+TEST(ChangeCommands, AConflictInTheTableIsAConflict) {
+  run.entry.faults_ = {call_fault::kNone, call_fault::kTableConflict};
+  const command_result result = run.Run({"leave", "domain", "kandy-1", "--json"});
+  CheckFailed(result, "another change came first: condition failed; see the audit trail");
   STRCMP_CONTAINS("\"error\":\"conflict\"", result.out.c_str());
 }
 
--- a/tests/wagtailctl/fake_entry.h
+++ b/tests/wagtailctl/fake_entry.h
@@ -23,6 +23,7 @@
   kLostRequest,     ///< reached nobody, but the client can't know
   kLostAnswer,      ///< took effect, the answer was lost
   kTableDown,       ///< 503 not_applied
+  kTableConflict,   ///< 409 without the other change
   kOutcomeUnknown,  ///< 503 outcome_unknown, took effect
   kGarbage,         ///< 200 with a body that is no JSON
 };
@@ -63,6 +64,9 @@
     if (fault == call_fault::kTableDown) {
       return Answer(503, {{"error", "not_applied"}});
     }
+    if (fault == call_fault::kTableConflict) {
+      return Answer(409, {{"error", "conflict"}, {"message", "condition failed"}});
+    }
     if (fault == call_fault::kLostRequest) {
       return MakeError(http_error::kNoAnswer, "timed out");
     }
@@ -154,7 +158,7 @@
                           {"other_change_id", record_.change_id},
                           {"version", record_.version}});
     }
-    return Answer(400, {{"error", "refused"}, {"message", MessageOf(next.status())}});
+    return Answer(422, {{"error", "refused"}, {"message", MessageOf(next.status())}});
   }
 
   http_response FindChange(const std::string& id) {
--- a/utilities/wagtailctl/command_line.cc
+++ b/utilities/wagtailctl/command_line.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <string_view>
 
+#include "base/version.h"
 #include "configuration/configuration_text.h"
 
 namespace wagtail {
@@ -53,7 +54,7 @@
 }
 
 void AddGlobalOptions(CLI::App& app, raw_arguments& raw) {
-  app.set_version_flag("--version", "wagtailctl " WAGTAIL_VERSION);
+  app.set_version_flag("--version", "wagtailctl " + std::string(kVersion));
   app.add_option("--entry", raw.line.entries,
                  "URL of an entry, http://IP:PORT; repeat it to name others to try")
       ->allow_extra_args(false)
--- a/utilities/wagtailctl/commands.cc
+++ b/utilities/wagtailctl/commands.cc
@@ -26,7 +26,8 @@
 constexpr std::array<std::string_view, 9> kTargetColumns = {
     "name",  "incarnation", "service", "failure_domain",   "state",
     "slots", "running",     "queued",  "confirmed_version"};
-constexpr std::array<std::string_view, 5> kJobColumns = {"id", "team", "state", "tasks", "done"};
+constexpr std::array<std::string_view, 5> kJobColumns = {"job", "team", "stage", "tasks",
+                                                         "handed_over"};
 constexpr std::array<std::string_view, 8> kAuditColumns = {
     "when", "author", "kind", "subject", "from_version", "to_version", "outcome", "change_id"};
 
--- a/utilities/wagtailctl/entry_client.cc
+++ b/utilities/wagtailctl/entry_client.cc
@@ -58,13 +58,21 @@
   return text;
 }
 
+/// The fields are those of the change in place when the entry answered. Two changes that meet in
+/// the table are told without them.
+std::string ConflictOf(const error_answer& answer) {
+  if (answer.other_author.empty()) {
+    return answer.message + "; see the audit trail";
+  }
+  return absl::StrCat("operator ", answer.other_author, " made version ", answer.version,
+                      " with change ", answer.other_change_id);
+}
+
 /// Turns an answer other than 200 into an error.
 absl::Status ErrorOfAnswer(const http_response& response) {
   const error_answer answer = ReadErrorAnswer(response.body);
-  if (response.status == kConflictStatus && !answer.other_author.empty()) {
-    return MakeError(entry_error::kConflict,
-                     absl::StrCat("operator ", answer.other_author, " made version ",
-                                  answer.version, " first, with change ", answer.other_change_id));
+  if (response.status == kConflictStatus) {
+    return MakeError(entry_error::kConflict, "another change came first: " + ConflictOf(answer));
   }
   if (response.status == kUnavailableStatus && answer.error == "not_applied") {
     return MakeError(entry_error::kNotApplied, "not applied: the entry can't write to the table; " +
