wagtail-load: names that no other part of the tree bears

job_outcome and scenario stood twice in the namespace, in the job library and in the policy bench; two definitions of one name would clash as soon as one program links both.

--- a/tests/wagtail_load/load_run_test.cc
+++ b/tests/wagtail_load/load_run_test.cc
@@ -96,14 +96,14 @@
   std::unique_ptr<http_server> server_;
 };
 
-uint64_t CountOf(const run_report& report, job_outcome outcome) {
+uint64_t CountOf(const run_report& report, submission_outcome outcome) {
   return std::ranges::find(report.outcomes, ToText(outcome), &named_count::name)->count;
 }
 
 }  // namespace
 
 TEST_GROUP(LoadRun) {
-  scenario plan_ = SampleScenario();
+  load_scenario plan_ = SampleScenario();
   std::atomic<bool> stop_ = false;
 
   run_report Run() {
@@ -118,7 +118,7 @@
   plan_.entries = {entry.Url()};
   run_report report = Run();
   CHECK(report.totals.jobs > 20);
-  LONGS_EQUAL(report.totals.jobs, CountOf(report, job_outcome::kComplete));
+  LONGS_EQUAL(report.totals.jobs, CountOf(report, submission_outcome::kComplete));
   LONGS_EQUAL(report.totals.jobs, entry.jobs());
   CHECK(report.totals.resubmitted_jobs > 0);
   LONGS_EQUAL(report.totals.jobs + report.totals.resubmitted_jobs, entry.submissions());
@@ -132,8 +132,9 @@
   plan_.entries = {entry.Url()};
   plan_.resubmitted_share = 0;
   run_report report = Run();
-  LONGS_EQUAL(report.totals.jobs / 5, CountOf(report, job_outcome::kFailedNotRun));
-  LONGS_EQUAL(report.totals.jobs - report.totals.jobs / 5, CountOf(report, job_outcome::kComplete));
+  LONGS_EQUAL(report.totals.jobs / 5, CountOf(report, submission_outcome::kFailedNotRun));
+  LONGS_EQUAL(report.totals.jobs - report.totals.jobs / 5,
+              CountOf(report, submission_outcome::kComplete));
   STRCMP_EQUAL("quota", report.reasons[0].name.c_str());
 }
 
@@ -144,7 +145,7 @@
   plan_.resubmitted_share = 0;
   gone.Stop();
   run_report report = Run();
-  LONGS_EQUAL(report.totals.jobs, CountOf(report, job_outcome::kComplete));
+  LONGS_EQUAL(report.totals.jobs, CountOf(report, submission_outcome::kComplete));
   LONGS_EQUAL(2, entry.changes());
 }
 
@@ -161,7 +162,7 @@
   auto jobs = *MakeSchedule(plan_);
   run_outcome outcome = RunSchedule(plan_, jobs, lossy_call, stop_);
   run_report report = Summarise(plan_, jobs, outcome.records, outcome.changes);
-  LONGS_EQUAL(report.totals.jobs, CountOf(report, job_outcome::kComplete));
+  LONGS_EQUAL(report.totals.jobs, CountOf(report, submission_outcome::kComplete));
   CHECK(report.totals.lost_resubmissions > 0);
   LONGS_EQUAL(first.submissions(), report.totals.lost_resubmissions);
   LONGS_EQUAL(report.totals.jobs, second.submissions());
@@ -172,7 +173,7 @@
   plan_.entries = {entry.Url()};
   plan_.ids = id_source::kOwnKeys;
   run_report report = Run();
-  LONGS_EQUAL(report.totals.jobs, CountOf(report, job_outcome::kComplete));
+  LONGS_EQUAL(report.totals.jobs, CountOf(report, submission_outcome::kComplete));
   LONGS_EQUAL(report.totals.jobs, entry.jobs());
 }
 
@@ -181,7 +182,7 @@
   plan_.entries = {entry.Url()};
   stop_ = true;
   run_report report = Run();
-  LONGS_EQUAL(report.totals.jobs, CountOf(report, job_outcome::kNotSent));
+  LONGS_EQUAL(report.totals.jobs, CountOf(report, submission_outcome::kNotSent));
   LONGS_EQUAL(0, entry.submissions());
 }
 
--- a/tests/wagtail_load/report_test.cc
+++ b/tests/wagtail_load/report_test.cc
@@ -21,7 +21,7 @@
 
 /// One job of two seconds of work per second; the one of second 2 fails.
 run_report SampleReport() {
-  scenario plan = SampleScenario();
+  load_scenario plan = SampleScenario();
   plan.length = seconds(10);
   plan.actions[0].at = seconds(2);
   plan.actions[1].at = seconds(4);
@@ -29,11 +29,11 @@
   std::vector<job_record> records;
   for (int i = 0; i < 6; ++i) {
     jobs.push_back({.at = seconds(i), .tasks = {{.run_ms = 1000}, {.run_ms = 1000}}});
-    records.push_back({.outcome = job_outcome::kComplete,
+    records.push_back({.outcome = submission_outcome::kComplete,
                        .sent = seconds(i) + milliseconds(1),
                        .finished = seconds(i) + milliseconds(501 + 100 * i)});
   }
-  records[2].outcome = job_outcome::kFailedNotRun;
+  records[2].outcome = submission_outcome::kFailedNotRun;
   records[2].reason = "quota";
   run_report report = Summarise(plan, jobs, records, {{.kind = "leave_domain", .subject = "a<b"}});
   report.origin = {.scenario = "sample",
@@ -163,16 +163,17 @@
   };
   const std::string whole = R"({"outcome":"complete","results":[
     {"index":1,"status":"completed"},{"index":0,"status":"completed"}]})";
-  CHECK(outcome_of(200, whole) == job_outcome::kComplete);
+  CHECK(outcome_of(200, whole) == submission_outcome::kComplete);
   CHECK(outcome_of(200, R"({"outcome":"complete","results":[{"index":0,"status":"completed"}]})") ==
-        job_outcome::kBadAnswer);
+        submission_outcome::kBadAnswer);
   CHECK(outcome_of(200, R"({"outcome":"complete","results":[
     {"index":0,"status":"completed"},{"index":0,"status":"completed"}]})") ==
-        job_outcome::kBadAnswer);
-  CHECK(outcome_of(200, "not json") == job_outcome::kBadAnswer);
-  CHECK(outcome_of(503, R"({"outcome":"failed_not_run"})") == job_outcome::kFailedNotRun);
-  CHECK(outcome_of(504, R"({"outcome":"failed_may_have_run"})") == job_outcome::kFailedMayHaveRun);
-  CHECK(outcome_of(500, "") == job_outcome::kBadAnswer);
+        submission_outcome::kBadAnswer);
+  CHECK(outcome_of(200, "not json") == submission_outcome::kBadAnswer);
+  CHECK(outcome_of(503, R"({"outcome":"failed_not_run"})") == submission_outcome::kFailedNotRun);
+  CHECK(outcome_of(504, R"({"outcome":"failed_may_have_run"})") ==
+        submission_outcome::kFailedMayHaveRun);
+  CHECK(outcome_of(500, "") == submission_outcome::kBadAnswer);
 }
 
 }  // namespace wagtail
--- a/tests/wagtail_load/sample_scenario.h
+++ b/tests/wagtail_load/sample_scenario.h
@@ -3,7 +3,7 @@
 #include <string_view>
 
 #include "base/verify.h"
-#include "wagtail_load/scenario.h"
+#include "wagtail_load/load_scenario.h"
 
 namespace wagtail {
 
@@ -24,8 +24,8 @@
   ]
 })";
 
-inline scenario SampleScenario() {
-  absl::StatusOr<scenario> plan = ParseScenario(kSampleScenario, "sample.jsonc");
+inline load_scenario SampleScenario() {
+  absl::StatusOr<load_scenario> plan = ParseScenario(kSampleScenario, "sample.jsonc");
   VERIFY(plan.ok());
   return *std::move(plan);
 }
--- a/tests/wagtail_load/scenario_test.cc
+++ b/tests/wagtail_load/scenario_test.cc
@@ -1,4 +1,4 @@
-#include "wagtail_load/scenario.h"
+#include "wagtail_load/load_scenario.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -41,7 +41,7 @@
 TEST_GROUP(Scenario){};
 
 TEST(Scenario, ReadsEveryPart) {
-  scenario plan = SampleScenario();
+  load_scenario plan = SampleScenario();
   CHECK(plan.seed == 7 && plan.length == seconds(1) && plan.workers == 8);
   CHECK(plan.services.size() == 2 && plan.services[0].name == "lamp" &&
         plan.services[0].weight == 3);
@@ -105,7 +105,7 @@
 TEST_GROUP(Schedule){};
 
 TEST(Schedule, DependsOnTheSeedOnly) {
-  scenario plan = SampleScenario();
+  load_scenario plan = SampleScenario();
   auto first = *MakeSchedule(plan);
   CHECK(std::ranges::equal(first, *MakeSchedule(plan), AreSame));
   plan.seed = 8;
@@ -113,7 +113,7 @@
 }
 
 TEST(Schedule, FollowsRatesAndMixes) {
-  scenario plan = SampleScenario();
+  load_scenario plan = SampleScenario();
   plan.length = seconds(200);
   plan.arrivals = {{.from = seconds(0), .jobs_per_second = 0},
                    {.from = seconds(100), .jobs_per_second = 100}};
@@ -136,7 +136,7 @@
 }
 
 TEST(Schedule, RefusesMoreThanItHolds) {
-  scenario plan = SampleScenario();
+  load_scenario plan = SampleScenario();
   plan.length = std::chrono::hours(24);
   plan.arrivals = {{.from = {}, .jobs_per_second = 1000}};
   CHECK(ErrorOf<load_error>(MakeSchedule(plan).status()) == load_error::kTooMuchWork);
--- a/utilities/wagtail_load/entry_client.cc
+++ b/utilities/wagtail_load/entry_client.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "base/try.h"
 #include "http/http_error.h"
 #include "wagtail_load/load_error.h"
@@ -32,7 +33,8 @@
 }
 
 submission_answer BadAnswer(std::string_view why) {
-  return {.outcome = job_outcome::kBadAnswer, .reason = "tool: " + std::string(why), .body = ""};
+  return {
+      .outcome = submission_outcome::kBadAnswer, .reason = "tool: " + std::string(why), .body = ""};
 }
 
 /// Whether every index is there once, with a completed status.
@@ -65,22 +67,23 @@
     if (!IsWhole(body.value("results", json()), tasks)) {
       return BadAnswer("partial answer");
     }
-    return {.outcome = job_outcome::kComplete, .reason = "", .body = body["results"].dump()};
+    return {.outcome = submission_outcome::kComplete, .reason = "", .body = body["results"].dump()};
   }
   std::string reason = TextAt(body, "reason");
   if (reason.empty()) {
-    reason = "status " + std::to_string(answer.status);
+    reason = absl::StrCat("status ", answer.status, " ", TextAt(body, "error"));
   }
   if (outcome == "failed_may_have_run") {
-    return {.outcome = job_outcome::kFailedMayHaveRun, .reason = std::move(reason), .body = ""};
+    return {
+        .outcome = submission_outcome::kFailedMayHaveRun, .reason = std::move(reason), .body = ""};
   }
   if (outcome == "failed_not_run") {
-    return {.outcome = job_outcome::kFailedNotRun, .reason = std::move(reason), .body = ""};
+    return {.outcome = submission_outcome::kFailedNotRun, .reason = std::move(reason), .body = ""};
   }
-  return BadAnswer("status " + std::to_string(answer.status) + " without outcome");
+  return BadAnswer("without outcome, " + reason);
 }
 
-entry_client::entry_client(const scenario& plan, call_hook call)
+entry_client::entry_client(const load_scenario& plan, call_hook call)
     : plan_(plan), call_(std::move(call)) {}
 
 http_call entry_client::Call(std::string method, std::string_view entry, std::string_view path,
@@ -139,9 +142,10 @@
     return JudgeAnswer(*answer, job.tasks.size());
   }
   bool arrived_never = ErrorOf<http_error>(answer.status()) == http_error::kConnectFailed;
-  return {.outcome = arrived_never ? job_outcome::kNotConnected : job_outcome::kNoAnswer,
-          .reason = arrived_never ? "tool: no connection" : "tool: no answer",
-          .body = ""};
+  return {
+      .outcome = arrived_never ? submission_outcome::kNotConnected : submission_outcome::kNoAnswer,
+      .reason = arrived_never ? "tool: no connection" : "tool: no answer",
+      .body = ""};
 }
 
 absl::StatusOr<http_response> entry_client::Change(std::string_view entry,
--- a/utilities/wagtail_load/entry_client.h
+++ b/utilities/wagtail_load/entry_client.h
@@ -10,7 +10,7 @@
 #include "absl/status/statusor.h"
 #include "http/http_client.h"
 #include "wagtail_load/job_record.h"
-#include "wagtail_load/scenario.h"
+#include "wagtail_load/load_scenario.h"
 #include "wagtail_load/schedule.h"
 
 namespace wagtail {
@@ -20,7 +20,7 @@
 
 /// What a caller learnt of one submission.
 struct submission_answer {
-  job_outcome outcome = job_outcome::kNoAnswer;
+  submission_outcome outcome = submission_outcome::kNoAnswer;
   std::string reason;  ///< empty when complete
   std::string body;    ///< of a complete answer
 };
@@ -29,7 +29,7 @@
 class entry_client {
  public:
   /// @param plan must outlive the client
-  entry_client(const scenario& plan, call_hook call);
+  entry_client(const load_scenario& plan, call_hook call);
 
   /// Asks an entry to mint job ids.
   /// @return `count` ids, or load_error::kUnexpectedAnswer
@@ -50,7 +50,7 @@
                  const secret& token) const;
   std::string BodyOf(const planned_job& job) const;
 
-  const scenario& plan_;
+  const load_scenario& plan_;
   call_hook call_;
 };
 
--- a/utilities/wagtail_load/job_id_pool.cc
+++ b/utilities/wagtail_load/job_id_pool.cc
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-job_id_pool::job_id_pool(const scenario& plan, const entry_client& client)
+job_id_pool::job_id_pool(const load_scenario& plan, const entry_client& client)
     : plan_(plan), client_(client), run_id_(NewRunId()), ids_(plan.entries.size()) {}
 
 absl::StatusOr<std::string> job_id_pool::Take(size_t entry) {
--- a/utilities/wagtail_load/job_id_pool.h
+++ b/utilities/wagtail_load/job_id_pool.h
@@ -18,7 +18,7 @@
 class job_id_pool {
  public:
   /// @param plan,client must outlive the pool
-  job_id_pool(const scenario& plan, const entry_client& client);
+  job_id_pool(const load_scenario& plan, const entry_client& client);
 
   /// @param entry index into the scenario's entries
   /// @return an id minted by this entry, fetched now if none is at hand
@@ -31,7 +31,7 @@
   /// Small, so that ids are used soon after they were minted.
   static constexpr uint32_t kBatch = 16;
 
-  const scenario& plan_;
+  const load_scenario& plan_;
   const entry_client& client_;
   const std::string run_id_;  ///< makes own keys differ between runs
   std::atomic<uint64_t> next_key_ = 0;
--- a/utilities/wagtail_load/job_record.cc
+++ b/utilities/wagtail_load/job_record.cc
@@ -4,21 +4,21 @@
 
 namespace wagtail {
 
-std::string_view ToText(job_outcome outcome) {
+std::string_view ToText(submission_outcome outcome) {
   switch (outcome) {
-    case job_outcome::kComplete:
+    case submission_outcome::kComplete:
       return "complete";
-    case job_outcome::kFailedNotRun:
+    case submission_outcome::kFailedNotRun:
       return "failed_not_run";
-    case job_outcome::kFailedMayHaveRun:
+    case submission_outcome::kFailedMayHaveRun:
       return "failed_may_have_run";
-    case job_outcome::kBadAnswer:
+    case submission_outcome::kBadAnswer:
       return "bad_answer";
-    case job_outcome::kNoAnswer:
+    case submission_outcome::kNoAnswer:
       return "no_answer";
-    case job_outcome::kNotConnected:
+    case submission_outcome::kNotConnected:
       return "not_connected";
-    case job_outcome::kNotSent:
+    case submission_outcome::kNotSent:
       return "not_sent";
   }
   VERIFY_NOT_REACHED();
--- a/utilities/wagtail_load/job_record.h
+++ b/utilities/wagtail_load/job_record.h
@@ -9,7 +9,7 @@
 namespace wagtail {
 
 /// How one job ended, seen by its caller.
-enum class job_outcome {
+enum class submission_outcome {
   kComplete,
   kFailedNotRun,
   kFailedMayHaveRun,
@@ -20,17 +20,18 @@
 };
 
 /// Every outcome, in the order of reports.
-inline constexpr job_outcome kJobOutcomes[] = {
-    job_outcome::kComplete,  job_outcome::kFailedNotRun, job_outcome::kFailedMayHaveRun,
-    job_outcome::kBadAnswer, job_outcome::kNoAnswer,     job_outcome::kNotConnected,
-    job_outcome::kNotSent};
+inline constexpr submission_outcome kSubmissionOutcomes[] = {
+    submission_outcome::kComplete,         submission_outcome::kFailedNotRun,
+    submission_outcome::kFailedMayHaveRun, submission_outcome::kBadAnswer,
+    submission_outcome::kNoAnswer,         submission_outcome::kNotConnected,
+    submission_outcome::kNotSent};
 
 /// @return the outcome in snake case
-std::string_view ToText(job_outcome outcome);
+std::string_view ToText(submission_outcome outcome);
 
 /// What happened to one planned job.
 struct job_record {
-  job_outcome outcome = job_outcome::kNotSent;
+  submission_outcome outcome = submission_outcome::kNotSent;
   duration sent{};              ///< since the start of the run
   duration finished{};          ///< since the start of the run
   std::string reason = {};      ///< the entry's, or the tool's own
--- a/utilities/wagtail_load/load_runner.cc
+++ b/utilities/wagtail_load/load_runner.cc
@@ -24,8 +24,8 @@
 /// One run with its threads.
 class run_in_progress {
  public:
-  run_in_progress(const scenario& plan, std::span<const planned_job> jobs, const call_hook& call,
-                  const std::atomic<bool>& stop)
+  run_in_progress(const load_scenario& plan, std::span<const planned_job> jobs,
+                  const call_hook& call, const std::atomic<bool>& stop)
       : plan_(plan),
         jobs_(jobs),
         client_(plan, call),
@@ -81,7 +81,7 @@
     if (id.ok()) {
       Send(job, entry, *id, record);
     } else {
-      record.outcome = job_outcome::kNotConnected;
+      record.outcome = submission_outcome::kNotConnected;
       record.reason = "tool: no job id";
     }
     record.finished = Elapsed();
@@ -99,8 +99,8 @@
     record.reason = std::move(first.reason);
     if (job.resubmitted) {
       resubmission.join();
-      bool both_complete =
-          first.outcome == job_outcome::kComplete && second.outcome == job_outcome::kComplete;
+      bool both_complete = first.outcome == submission_outcome::kComplete &&
+                           second.outcome == submission_outcome::kComplete;
       record.answers_differ = both_complete && first.body != second.body;
     }
   }
@@ -117,7 +117,8 @@
   }
 
   static bool IsLost(const submission_answer& answer) {
-    return answer.outcome == job_outcome::kNoAnswer || answer.outcome == job_outcome::kNotConnected;
+    return answer.outcome == submission_outcome::kNoAnswer ||
+           answer.outcome == submission_outcome::kNotConnected;
   }
 
   void MakeChanges() {
@@ -152,7 +153,7 @@
     return static_cast<double>(span.count()) / kMicrosecondsPerMillisecond;
   }
 
-  const scenario& plan_;
+  const load_scenario& plan_;
   std::span<const planned_job> jobs_;
   entry_client client_;
   job_id_pool ids_;
@@ -164,7 +165,7 @@
 
 }  // namespace
 
-run_outcome RunSchedule(const scenario& plan, std::span<const planned_job> jobs,
+run_outcome RunSchedule(const load_scenario& plan, std::span<const planned_job> jobs,
                         const call_hook& call, const std::atomic<bool>& stop) {
   return run_in_progress(plan, jobs, call, stop).Run();
 }
--- a/utilities/wagtail_load/load_runner.h
+++ b/utilities/wagtail_load/load_runner.h
@@ -8,8 +8,8 @@
 #include "base/time.h"
 #include "wagtail_load/entry_client.h"
 #include "wagtail_load/job_record.h"
+#include "wagtail_load/load_scenario.h"
 #include "wagtail_load/run_report.h"
-#include "wagtail_load/scenario.h"
 #include "wagtail_load/schedule.h"
 
 namespace wagtail {
@@ -28,7 +28,7 @@
 /// @param call makes HTTP calls; called from several threads
 /// @param stop once true, jobs not yet sent stay unsent
 /// @return when every call was answered or timed out
-run_outcome RunSchedule(const scenario& plan, std::span<const planned_job> jobs,
+run_outcome RunSchedule(const load_scenario& plan, std::span<const planned_job> jobs,
                         const call_hook& call, const std::atomic<bool>& stop);
 
 }  // namespace wagtail
--- a/utilities/wagtail_load/scenario.cc
+++ b/utilities/wagtail_load/load_scenario.cc
@@ -1,4 +1,4 @@
-#include "wagtail_load/scenario.h"
+#include "wagtail_load/load_scenario.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -28,7 +28,7 @@
          url.find(':', kScheme.size()) != std::string_view::npos;
 }
 
-void ReadArrivals(object_reader& reader, scenario& plan) {
+void ReadArrivals(object_reader& reader, load_scenario& plan) {
   reader.Objects("arrivals", kMaxListItems, [&](object_reader& item) {
     arrival_phase phase;
     phase.from = item.Milliseconds("from_ms", milliseconds(0), kTimesOfRun);
@@ -43,7 +43,7 @@
   }
 }
 
-void ReadMixes(object_reader& reader, scenario& plan) {
+void ReadMixes(object_reader& reader, load_scenario& plan) {
   reader.NamedObjects(
       "services", kMaxListItems, {}, [&](const std::string& name, object_reader& item) {
         plan.services.push_back({.name = name, .weight = item.Number("weight", 1, kWeights)});
@@ -73,7 +73,7 @@
   }
 }
 
-void ReadDomainsAndChanges(object_reader& reader, scenario& plan) {
+void ReadDomainsAndChanges(object_reader& reader, load_scenario& plan) {
   reader.NamedObjects(
       "domains", kMaxListItems, {}, [&](const std::string& name, object_reader& item) {
         plan.domains.push_back(
@@ -94,7 +94,7 @@
   });
 }
 
-void ReadSending(object_reader& reader, scenario& plan) {
+void ReadSending(object_reader& reader, load_scenario& plan) {
   const text_rule url_rule{.allowed = "http://IP:PORT without a path", .accept = IsEntryUrl};
   plan.entries = reader.Texts("entries", kMaxListItems, url_rule);
   if (plan.entries.empty()) {
@@ -115,7 +115,7 @@
                                           {.least = milliseconds(100), .most = minutes(10)});
 }
 
-void ReadScenario(object_reader& reader, scenario& plan) {
+void ReadScenario(object_reader& reader, load_scenario& plan) {
   plan.name = reader.RequiredText("name", {.most_bytes = 64});
   plan.seed = reader.Unsigned("seed", 1, {.least = 0, .most = UINT64_MAX});
   plan.length = reader.Milliseconds("length_ms", milliseconds(60'000),
@@ -140,7 +140,7 @@
   ReadSending(reader, plan);
 }
 
-nlohmann::json WorkloadJson(const scenario& plan) {
+nlohmann::json WorkloadJson(const load_scenario& plan) {
   nlohmann::json out;
   out["name"] = plan.name;
   out["length"] = plan.length.count();
@@ -176,8 +176,8 @@
   return kind == operator_change::kLeaveDomain ? "leave_domain" : "return_domain";
 }
 
-absl::StatusOr<scenario> ParseScenario(std::string_view text, std::string_view file_name) {
-  scenario plan;
+absl::StatusOr<load_scenario> ParseScenario(std::string_view text, std::string_view file_name) {
+  load_scenario plan;
   absl::Status read =
       ReadSettings(text, file_name, [&](object_reader& reader) { ReadScenario(reader, plan); });
   if (!read.ok()) {
@@ -186,7 +186,7 @@
   return plan;
 }
 
-std::string WorkloadDigest(const scenario& plan) {
+std::string WorkloadDigest(const load_scenario& plan) {
   return absl::StrFormat("%016x", DigestOf(WorkloadJson(plan).dump()));
 }
 
--- a/utilities/wagtail_load/scenario.h
+++ b/utilities/wagtail_load/load_scenario.h
@@ -67,7 +67,7 @@
   duration overhead{};       ///< added once per job: the way there and back
 };
 
-struct scenario {
+struct load_scenario {
   std::string name;
   uint64_t seed = 1;
   duration length{};  ///< arrivals stop after this
@@ -102,11 +102,11 @@
 /// @param text JSON with comments
 /// @param file_name named in messages
 /// @return the scenario, or load_error::kBadScenario naming every problem
-absl::StatusOr<scenario> ParseScenario(std::string_view text, std::string_view file_name);
+absl::StatusOr<load_scenario> ParseScenario(std::string_view text, std::string_view file_name);
 
 /// @return a digest in hexadecimal of everything that makes the workload: equal for runs that may
 ///   be compared. Leaves out the seed and how the load is sent.
-std::string WorkloadDigest(const scenario& plan);
+std::string WorkloadDigest(const load_scenario& plan);
 
 /// @return leave_domain or return_domain
 std::string_view ToText(operator_change kind);
--- a/utilities/wagtail_load/main.cc
+++ b/utilities/wagtail_load/main.cc
@@ -10,14 +10,15 @@
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
 #include "base/try.h"
+#include "base/version.h"
 #include "http/http_client.h"
 #include "settings/settings_text.h"
 #include "wagtail_load/comparison.h"
 #include "wagtail_load/counter_scrape.h"
 #include "wagtail_load/load_error.h"
 #include "wagtail_load/load_runner.h"
+#include "wagtail_load/load_scenario.h"
 #include "wagtail_load/run_report.h"
-#include "wagtail_load/scenario.h"
 #include "wagtail_load/schedule.h"
 #include "wagtail_load/stand_in_check.h"
 #include "wagtail_load/statistics.h"
@@ -59,9 +60,9 @@
   return ParseReport(text, path);
 }
 
-absl::StatusOr<scenario> ReadScenarioFor(const run_options& options) {
+absl::StatusOr<load_scenario> ReadScenarioFor(const run_options& options) {
   std::string text = TRY(ReadTextFile(options.scenario_file));
-  scenario plan = TRY(ParseScenario(text, options.scenario_file));
+  load_scenario plan = TRY(ParseScenario(text, options.scenario_file));
   if (!options.entries.empty()) {
     plan.entries = options.entries;
   }
@@ -72,7 +73,7 @@
 }
 
 absl::Status Run(const run_options& options, const std::string& command) {
-  scenario plan = TRY(ReadScenarioFor(options));
+  load_scenario plan = TRY(ReadScenarioFor(options));
   std::vector<planned_job> jobs = TRY(MakeSchedule(plan));
   std::string started_at =
       absl::FormatTime("%Y-%m-%d%ET%H:%M:%SZ", absl::Now(), absl::UTCTimeZone());
@@ -88,7 +89,7 @@
   report.origin = {.scenario = plan.name,
                    .workload = WorkloadDigest(plan),
                    .seed = plan.seed,
-                   .version = WAGTAIL_VERSION,
+                   .version = std::string(kVersion),
                    .command = command,
                    .started_at = started_at};
   TRY(WriteFile(options.out_file, ToJsonText(report)));
@@ -97,7 +98,7 @@
 }
 
 absl::Status CheckScenario(const run_options& options) {
-  scenario plan = TRY(ReadScenarioFor(options));
+  load_scenario plan = TRY(ReadScenarioFor(options));
   std::vector<planned_job> jobs = TRY(MakeSchedule(plan));
   std::cout << options.scenario_file << ": good; " << jobs.size() << " jobs, workload "
             << WorkloadDigest(plan) << "\n";
@@ -159,7 +160,7 @@
 int Main(int argc, char** argv) {
   CLI::App app("Runs load scenarios against wagtailplank entries and reads their results.",
                "wagtail-load");
-  app.set_version_flag("--version", WAGTAIL_VERSION);
+  app.set_version_flag("--version", std::string(kVersion));
   app.require_subcommand(1);
   std::string command = absl::StrJoin(argv, argv + argc, " ");
 
--- a/utilities/wagtail_load/schedule.cc
+++ b/utilities/wagtail_load/schedule.cc
@@ -48,7 +48,7 @@
 /// Walks through the phases with arrivals at the rate of each.
 class arrival_times {
  public:
-  arrival_times(const scenario& plan, random_source& random) : plan_(plan), random_(random) {}
+  arrival_times(const load_scenario& plan, random_source& random) : plan_(plan), random_(random) {}
 
   /// @return the next arrival, or nothing when the run is over
   std::optional<duration> Next() {
@@ -73,13 +73,13 @@
     return last ? plan_.length : std::min(plan_.length, plan_.arrivals[phase_ + 1].from);
   }
 
-  const scenario& plan_;
+  const load_scenario& plan_;
   random_source& random_;
   size_t phase_ = 0;
   double seconds_ = 0;
 };
 
-planned_task DrawTask(const scenario& plan, random_source& random) {
+planned_task DrawTask(const load_scenario& plan, random_source& random) {
   const service_share& service = random.Pick(plan.services);
   const run_time_share& span = random.Pick(plan.run_times);
   auto least = ToMilliseconds(span.least);
@@ -89,7 +89,7 @@
           .run_ms = static_cast<uint32_t>(least + extra)};
 }
 
-planned_job DrawJob(const scenario& plan, duration at, random_source& random) {
+planned_job DrawJob(const load_scenario& plan, duration at, random_source& random) {
   planned_job job{.at = at};
   job.entry = static_cast<uint32_t>(random.Fraction() * static_cast<double>(plan.entries.size()));
   job.resubmitted = random.Fraction() < plan.resubmitted_share;
@@ -100,7 +100,7 @@
 
 }  // namespace
 
-absl::StatusOr<std::vector<planned_job>> MakeSchedule(const scenario& plan) {
+absl::StatusOr<std::vector<planned_job>> MakeSchedule(const load_scenario& plan) {
   random_source random(plan.seed);
   arrival_times arrivals(plan, random);
   std::vector<planned_job> jobs;
--- a/utilities/wagtail_load/schedule.h
+++ b/utilities/wagtail_load/schedule.h
@@ -6,7 +6,7 @@
 
 #include "absl/status/statusor.h"
 #include "base/time.h"
-#include "wagtail_load/scenario.h"
+#include "wagtail_load/load_scenario.h"
 
 namespace wagtail {
 
@@ -29,7 +29,7 @@
 /// Draws the whole schedule: Poisson arrivals, sizes, services and run times. The same scenario and
 /// seed give the same schedule everywhere.
 /// @return jobs by rising time, or load_error::kTooMuchWork
-absl::StatusOr<std::vector<planned_job>> MakeSchedule(const scenario& plan);
+absl::StatusOr<std::vector<planned_job>> MakeSchedule(const load_scenario& plan);
 
 /// @return the response time if nothing waited: the overhead and the longest task on the fastest
 ///   target
--- a/utilities/wagtail_load/statistics.cc
+++ b/utilities/wagtail_load/statistics.cc
@@ -29,13 +29,17 @@
   return sorted[std::max<size_t>(rank, 1) - 1];
 }
 
-bool WasAnswered(const job_record& record) { return record.outcome != job_outcome::kNotSent; }
-bool IsComplete(const job_record& record) { return record.outcome == job_outcome::kComplete; }
+bool WasAnswered(const job_record& record) {
+  return record.outcome != submission_outcome::kNotSent;
+}
+bool IsComplete(const job_record& record) {
+  return record.outcome == submission_outcome::kComplete;
+}
 
 /// Gathers the figures of a run job by job.
 class summary {
  public:
-  explicit summary(const scenario& plan) : plan_(plan) {}
+  explicit summary(const load_scenario& plan) : plan_(plan) {}
 
   void Add(const planned_job& job, const job_record& record) {
     CountTotals(job, record);
@@ -65,7 +69,7 @@
   run_report Finish() {
     run_report report;
     report.totals = totals_;
-    for (job_outcome outcome : kJobOutcomes) {
+    for (submission_outcome outcome : kSubmissionOutcomes) {
       report.outcomes.push_back(
           {.name = std::string(ToText(outcome)), .count = outcomes_[outcome]});
     }
@@ -109,9 +113,9 @@
     return seconds_[second];
   }
 
-  const scenario& plan_;
+  const load_scenario& plan_;
   run_totals totals_;
-  std::map<job_outcome, uint64_t> outcomes_;
+  std::map<submission_outcome, uint64_t> outcomes_;
   std::map<std::string, uint64_t> reasons_;
   std::vector<double> responses_;
   std::vector<double> ratios_;
@@ -122,7 +126,7 @@
 };
 
 /// Work per second that the domains which have not left can do, at the start of `second`.
-double CapacityAt(const scenario& plan, size_t second) {
+double CapacityAt(const load_scenario& plan, size_t second) {
   std::set<std::string> gone;
   for (const operator_action& action : plan.actions) {
     if (SecondOf(action.at) > second) {
@@ -140,7 +144,7 @@
                          });
 }
 
-std::optional<change_window> WindowOf(const scenario& plan,
+std::optional<change_window> WindowOf(const load_scenario& plan,
                                       std::span<const second_figures> seconds) {
   if (plan.actions.empty()) {
     return std::nullopt;
@@ -184,7 +188,7 @@
           .max = values.back()};
 }
 
-run_report Summarise(const scenario& plan, std::span<const planned_job> jobs,
+run_report Summarise(const load_scenario& plan, std::span<const planned_job> jobs,
                      std::span<const job_record> records, std::vector<change_record> changes) {
   VERIFY(jobs.size() == records.size());
   summary gathered(plan);
--- a/utilities/wagtail_load/statistics.h
+++ b/utilities/wagtail_load/statistics.h
@@ -5,8 +5,8 @@
 
 #include "base/time.h"
 #include "wagtail_load/job_record.h"
+#include "wagtail_load/load_scenario.h"
 #include "wagtail_load/run_report.h"
-#include "wagtail_load/scenario.h"
 #include "wagtail_load/schedule.h"
 
 namespace wagtail {
@@ -24,7 +24,7 @@
 /// @param records what happened to each job, in the order of `jobs`
 /// @param changes what the operator did
 /// @return the report without its origin
-run_report Summarise(const scenario& plan, std::span<const planned_job> jobs,
+run_report Summarise(const load_scenario& plan, std::span<const planned_job> jobs,
                      std::span<const job_record> records, std::vector<change_record> changes);
 
 }  // namespace wagtail
--- a/utilities/wagtail_load/svg_plot.cc
+++ b/utilities/wagtail_load/svg_plot.cc
@@ -8,7 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
-#include "wagtail_load/scenario.h"
+#include "wagtail_load/load_scenario.h"
 
 namespace wagtail {
 
