Process metrics; possible work counts from the ideal end of a job

It now becomes possible when the job would end if nothing waited. Changes planned past the end of a scenario are refused.

--- a/tests/metrics/metrics_test.cc
+++ b/tests/metrics/metrics_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "metrics/metrics_registry.h"
+#include "metrics/process_metrics.h"
 // Last: CppUTest's macros must not reach the library headers.
 #include <CppUTest/TestHarness.h>
 
@@ -90,6 +91,18 @@
   CHECK(registry_.Write().find("late 3\n") != std::string::npos);
 }
 
+TEST(Metrics, TellsOfTheProcess) {
+  AddProcessMetrics(registry_);
+  std::string text = registry_.Write();
+  for (const char* name :
+       {"process_cpu_seconds_total ", "process_resident_memory_bytes ", "process_open_fds ",
+        "process_threads ", "process_start_time_seconds "}) {
+    size_t at = text.find("\n" + std::string(name));
+    CHECK(at != std::string::npos);
+    CHECK(std::stod(text.substr(at + 1 + std::string(name).size())) > 0);
+  }
+}
+
 TEST(Metrics, LosesNoUpdateFromSeveralThreads) {
   constexpr int kThreads = 4;
   constexpr int kUpdates = 10'000;
--- a/tests/wagtail_load/scenario_test.cc
+++ b/tests/wagtail_load/scenario_test.cc
@@ -63,6 +63,7 @@
       {"\"from_ms\": 0", "\"from_ms\": 5", "/arrivals"},
       {"\"least_ms\": 1", "\"least_ms\": 10", "/run_times/0/least_ms"},
       {"\"at_ms\": 600", "\"at_ms\": 100", "/changes/1/at_ms"},
+      {"\"at_ms\": 600", "\"at_ms\": 1000", "/changes/1/at_ms"},
       {"\"kind\": \"return_domain\"", "\"kind\": \"gone\"", "/changes/1/kind"},
       {"\"workers\": 8", "\"workers\": 257", "/workers"},
       {", \"operator_token\": \"hunter3\"", "", "/operator_token"},
--- a/utilities/wagtail_load/load_scenario.cc
+++ b/utilities/wagtail_load/load_scenario.cc
@@ -90,6 +90,9 @@
     if (!plan.actions.empty() && action.at < plan.actions.back().at) {
       item.Refuse("at_ms", "no earlier time than that of the change before");
     }
+    if (action.at >= plan.length) {
+      item.Refuse("at_ms", "a time before length_ms");
+    }
     plan.actions.push_back(std::move(action));
   });
 }
--- a/utilities/wagtail_load/run_report.h
+++ b/utilities/wagtail_load/run_report.h
@@ -58,6 +58,7 @@
   uint64_t failed_jobs = 0;     ///< by the time of the answer
   uint64_t completed_tasks = 0;
   double arrived_work_s = 0;
+  double earliest_work_s = 0;  ///< by the time that each job would end if nothing waited
   double completed_work_s = 0;
   distribution response_ms = {};  ///< of complete jobs that arrived in this second
 };
@@ -85,8 +86,8 @@
   double to_s = 0;
   double offered_work_s = 0;
   double completed_work_s = 0;
-  /// What the capacity left in the window could have done of the offered work; absent when the
-  /// scenario names no capacities.
+  /// What the capacity left in the window could have done of the work at hand, no job ending before
+  /// its ideal response time; absent when the scenario names no capacities.
   std::optional<double> possible_work_s = {};
 };
 
--- a/utilities/wagtail_load/run_report_json.cc
+++ b/utilities/wagtail_load/run_report_json.cc
@@ -23,8 +23,8 @@
                                    offered_work_s, completed_work_s, resubmitted_jobs,
                                    lost_resubmissions, differing_answers)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(second_figures, second, arrived_jobs, completed_jobs,
-                                   failed_jobs, completed_tasks, arrived_work_s, completed_work_s,
-                                   response_ms)
+                                   failed_jobs, completed_tasks, arrived_work_s, earliest_work_s,
+                                   completed_work_s, response_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(counter_growth, name, growth, missing_pages)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_record, kind, subject, planned_ms, answered_ms, status,
                                    answer)
--- a/utilities/wagtail_load/statistics.cc
+++ b/utilities/wagtail_load/statistics.cc
@@ -46,6 +46,7 @@
     second_figures& arrival = At(SecondOf(job.at));
     ++arrival.arrived_jobs;
     arrival.arrived_work_s += WorkOf(job);
+    At(SecondOf(job.at + IdealResponse(job, plan_.ideal))).earliest_work_s += WorkOf(job);
     if (!WasAnswered(record)) {
       return;
     }
@@ -157,7 +158,7 @@
   double possible = 0;
   for (size_t second = 0; second < to; ++second) {
     const second_figures& figures = seconds[second];
-    waiting += figures.arrived_work_s;
+    waiting += figures.earliest_work_s;
     double done = std::min(waiting, CapacityAt(plan, second));
     waiting -= done;
     if (second >= from) {
