--- a/utilities/wagtail_load/load_runner.cc
+++ b/utilities/wagtail_load/load_runner.cc
@@ -82,7 +82,7 @@
       Send(job, entry, *id, record);
     } else {
       record.outcome = submission_outcome::kNotConnected;
-      record.reason = "tool: no job id";
+      record.reason = "tool: no job id: " + MessageOf(id.status());
     }
     record.finished = Elapsed();
   }
