--- a/libraries/freshness/in_force_tracker.cc
+++ b/libraries/freshness/in_force_tracker.cc
@@ -12,6 +12,8 @@
   }
   version_ = version;
   voters_ = voters;
+  std::erase_if(confirmed_by_voter_,
+                [&](const auto& confirmed) { return !voters_.Contains(confirmed.first); });
   Settle(now);
 }
 
--- a/libraries/freshness/in_force_tracker.h
+++ b/libraries/freshness/in_force_tracker.h
@@ -55,6 +55,10 @@
   /// @return whether a majority of the voters confirmed the version; a step of the voter set needs
   ///   this for the version that wrote the present set
   bool HasMajority(uint64_t version) const { return version <= MajorityVersion(); }
+  /// @return whether one voter confirmed the version
+  bool HasConfirmed(entry_incarnation voter, uint64_t version) const {
+    return ConfirmedBy(voter) >= version;
+  }
   /// @return who has not confirmed the version, and what that means
   std::vector<missing_party> Missing(uint64_t version, instant now) const;
 
--- a/libraries/membership/row_text.cc
+++ b/libraries/membership/row_text.cc
@@ -29,7 +29,7 @@
 }
 
 absl::StatusOr<std::string> ReadText(const nlohmann::json& row, std::string_view field) {
-  auto found = row.find(field);
+  auto found = row.is_object() ? row.find(field) : row.end();
   if (found == row.end() || !found->is_string()) {
     return BadField(field);
   }
