Keep the voters under the prefix of the configuration, so that one read brings both

Cause: entries read each prefix by itself. With the configuration read at one state of the table and the voters at a later one, an entry holds the later revision without a change in between, and counts as knowing it.

Ruled out: reading the whole table, which holds the audit trail; taking only rows up to the earliest of several reads, which drops a change that was overwritten meanwhile.

--- a/libraries/freshness/guarded_rows.h
+++ b/libraries/freshness/guarded_rows.h
@@ -15,7 +15,8 @@
 namespace wagtail {
 
 /// Key of the table row that holds the operators' text.
-inline constexpr std::string_view kConfigurationKey = "configuration";
+inline constexpr std::string_view kConfigurationRowKey = "configuration";
+static_assert(kVotersKey.starts_with(kConfigurationRowKey), "one read brings both rows");
 
 struct guarded_row {
   std::string text;       ///< value in the table; empty if erased or never written
@@ -39,7 +40,7 @@
   /// Takes over what a read of the table brought; other rows are skipped.
   void Merge(const table_changes& changes) {
     for (const auto& row : changes.rows) {
-      if (row.key == kConfigurationKey) {
+      if (row.key == kConfigurationRowKey) {
         TakeNewer(configuration, {row.value.value_or(""), row.revision});
       } else if (row.key == kVotersKey) {
         TakeNewer(voters, {row.value.value_or(""), row.revision});
--- a/libraries/membership/entry_registry.h
+++ b/libraries/membership/entry_registry.h
@@ -33,7 +33,7 @@
   entry_state state = entry_state::kServing;
   /// Earlier lives of this name that had written that they stopped, the latest last. Readers may
   /// not have seen those rows before they were overwritten.
-  std::vector<entry_incarnation> stopped_before;
+  std::vector<entry_incarnation> stopped_before{};
   bool operator==(const entry_row&) const = default;
 };
 
--- a/libraries/membership/voter_set.h
+++ b/libraries/membership/voter_set.h
@@ -17,8 +17,10 @@
 
 namespace wagtail {
 
-/// Key of the table row that holds the set.
-inline constexpr std::string_view kVotersKey = "voters";
+/// Key of the table row that holds the set. One read of the prefix `configuration` brings this row
+/// and the operators' text together, from one state of the table: with two reads, a change between
+/// them would go unseen although a later one is known.
+inline constexpr std::string_view kVotersKey = "configuration/voters";
 
 /// One entry incarnation with a vote. A restarted entry has forgotten what it confirmed, so it is
 /// another incarnation and has no vote until it is added.
--- a/tests/freshness/deployment_disturbances.cc
+++ b/tests/freshness/deployment_disturbances.cc
@@ -77,7 +77,7 @@
     return;
   }
   const auto& held = entries_[entry].logic->rows().configuration;
-  std::string key(kConfigurationKey);
+  std::string key(kConfigurationRowKey);
   std::string leaving = network_.Random(2) == 0 ? "" : "d" + std::to_string(network_.Random(3));
   Commit(entry, {{{key, held.revision}}, {{key, leaving}}});
 }
--- a/tests/freshness/deployment_model.cc
+++ b/tests/freshness/deployment_model.cc
@@ -248,7 +248,7 @@
 
 void deployment_model::OnCommitted(const table_transaction& transaction, uint64_t revision) {
   for (const auto& write : transaction.writes) {
-    if (write.key == kConfigurationKey || write.key == kVotersKey) {
+    if (write.key == kConfigurationRowKey || write.key == kVotersKey) {
       committed_[revision] = network_.real_now();
       auto& count = write.key == kVotersKey ? counts_.voter_steps : counts_.commits;
       ++count;
