Bound the stop of a target's daemon by its stop limit

Cause: the daemon joined its runner's threads after the limit, so a stop could last as long as the longest task timeout. Ruled out: cancelling the HTTP call; ulfius offers no way.

--- a/libraries/target/task_runner.cc
+++ b/libraries/target/task_runner.cc
@@ -1,5 +1,6 @@
 #include "target/task_runner.h"
 
+#include <thread>
 #include <utility>
 
 #include "base/time.h"
@@ -15,51 +16,49 @@
 }  // namespace
 
 task_runner::task_runner(uint32_t slots, std::string target_url, result_hook on_result)
-    : target_url_(std::move(target_url)), on_result_(std::move(on_result)) {
+    : state_(std::make_shared<state>()) {
+  state_->target_url = std::move(target_url);
+  state_->on_result = std::move(on_result);
   for (uint32_t slot = 0; slot < slots; ++slot) {
-    threads_.emplace_back([this] { ThreadMain(); });
+    std::thread([shared = state_] { ThreadMain(shared); }).detach();
   }
 }
 
 task_runner::~task_runner() {
-  {
-    std::scoped_lock lock(mutex_);
-    stopping_ = true;
-  }
-  changed_.notify_all();
-  for (std::thread& thread : threads_) {
-    thread.join();
-  }
+  std::scoped_lock lock(state_->mutex);
+  state_->stopping = true;
+  state_->on_result = nullptr;
+  state_->changed.notify_all();
 }
 
 void task_runner::Start(start_request request) {
-  {
-    std::scoped_lock lock(mutex_);
-    pending_.push_back(std::move(request));
-  }
-  changed_.notify_one();
+  std::scoped_lock lock(state_->mutex);
+  state_->pending.push_back(std::move(request));
+  state_->changed.notify_one();
 }
 
-void task_runner::ThreadMain() {
+void task_runner::ThreadMain(const std::shared_ptr<state>& shared) {
+  std::unique_lock lock(shared->mutex);
   while (true) {
-    start_request request;
-    {
-      std::unique_lock lock(mutex_);
-      changed_.wait(lock, [this] { return stopping_ || !pending_.empty(); });
-      if (pending_.empty()) {
-        return;
-      }
-      request = std::move(pending_.front());
-      pending_.pop_front();
+    shared->changed.wait(lock, [&] { return shared->stopping || !shared->pending.empty(); });
+    if (shared->stopping) {
+      return;
+    }
+    start_request request = std::move(shared->pending.front());
+    shared->pending.pop_front();
+    lock.unlock();
+    task_result result = RunTask(shared->target_url, request);
+    lock.lock();
+    if (shared->on_result) {
+      shared->on_result(std::move(result));
     }
-    on_result_(RunTask(request));
   }
 }
 
-task_result task_runner::RunTask(const start_request& request) const {
+task_result task_runner::RunTask(const std::string& target_url, const start_request& request) {
   http_call call;
   call.method = "POST";
-  call.url = target_url_ + "/run";
+  call.url = target_url + "/run";
   call.headers["x-wagtail-job"] = ToString(request.key.job);
   call.headers["x-wagtail-task"] = std::to_string(request.key.index);
   call.headers["x-wagtail-service"] = request.service;
--- a/libraries/target/task_runner.h
+++ b/libraries/target/task_runner.h
@@ -3,10 +3,9 @@
 #include <condition_variable>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
-#include <vector>
 
 #include "jobs/task.h"
 
@@ -21,7 +20,8 @@
   /// @param slots tasks that run at once
   /// @param target_url base URL of the target's HTTP endpoint
   task_runner(uint32_t slots, std::string target_url, result_hook on_result);
-  /// Waits for the running tasks, each bounded by its timeout.
+  /// Waits for nothing: results of tasks that still run are dropped, and their threads end by
+  /// themselves, each within its task's timeout.
   ~task_runner();
   task_runner(const task_runner&) = delete;
   task_runner& operator=(const task_runner&) = delete;
@@ -30,16 +30,20 @@
   void Start(start_request request);
 
  private:
-  void ThreadMain();
-  task_result RunTask(const start_request& request) const;
-
-  std::string target_url_;
-  result_hook on_result_;
-  std::mutex mutex_;
-  std::condition_variable changed_;
-  std::deque<start_request> pending_;
-  bool stopping_ = false;
-  std::vector<std::thread> threads_;
+  /// Shared with the threads, which may outlive the runner.
+  struct state {
+    std::string target_url;
+    result_hook on_result;  ///< empty once the runner is gone
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<start_request> pending;
+    bool stopping = false;
+  };
+
+  static void ThreadMain(const std::shared_ptr<state>& shared);
+  static task_result RunTask(const std::string& target_url, const start_request& request);
+
+  std::shared_ptr<state> state_;
 };
 
 }  // namespace wagtail
--- a/services/targetd/main.cc
+++ b/services/targetd/main.cc
@@ -1,6 +1,7 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 
 #include "base/version.h"
@@ -49,7 +50,10 @@
   sigwait(&signals, &signal);
   (*http)->Stop();
   daemon.Stop();
-  return kDone;
+  // A task that outlasted the stop limit still holds a thread; the end of the process must not wait
+  // for it, nor pull static state from under it.
+  std::fflush(nullptr);
+  std::_Exit(kDone);
 }
 
 }  // namespace
