Tell conflicts, failed waits and empty lists plainly in wagtailctl

Seen against running daemons: five racing changes on one base gave one commit and four refusals, but the refusals named the base's own change, since an entry fills in those fields from what it knew; the message of the check is right and goes first now.

--- a/utilities/wagtailctl/answer_table.cc
+++ b/utilities/wagtailctl/answer_table.cc
@@ -114,15 +114,19 @@
   if (!answer.is_object()) {
     return MakeError(entry_error::kBadAnswer, "the answer is no JSON object");
   }
-  text_table plain({"NAME", "VALUE"});
-  PrintPlain(answer, "", &plain);
-  const bool has_rows = std::ranges::any_of(answer, IsRows);
-  if (!has_rows) {
+  const bool only_rows = std::ranges::all_of(answer, [](const json& value) {
+    return IsRows(value) || (value.is_array() && value.empty());
+  });
+  if (!only_rows) {
+    text_table plain({"NAME", "VALUE"});
+    PrintPlain(answer, "", &plain);
     plain.Print(out);
   }
   for (const auto& [name, value] : answer.items()) {
     if (IsRows(value)) {
       PrintRows(value, columns, out);
+    } else if (only_rows) {
+      out << "no " << name << "\n";
     }
   }
   return absl::OkStatus();
--- a/utilities/wagtailctl/change_commands.cc
+++ b/utilities/wagtailctl/change_commands.cc
@@ -20,9 +20,6 @@
 constexpr size_t kMaxNamesShown = 20;
 
 std::string NamesOf(const std::vector<std::string>& names) {
-  if (names.empty()) {
-    return "nobody named";
-  }
   const size_t shown = std::min(names.size(), kMaxNamesShown);
   std::string text =
       absl::StrJoin(names.begin(), names.begin() + static_cast<ptrdiff_t>(shown), ", ");
@@ -79,9 +76,22 @@
   if (view->record.version < wanted) {
     return absl::StrCat("the entry still has version ", view->record.version);
   }
+  if (view->missing.empty()) {
+    return "not confirmed by enough entries";
+  }
   return absl::StrCat("not confirmed by ", NamesOf(view->missing));
 }
 
+/// A failed wait says nothing against the change, which stays committed.
+absl::Status AfterCommit(const committed_change& committed, const absl::Status& wait) {
+  if (wait.ok()) {
+    return wait;
+  }
+  const entry_error error = ErrorOf<entry_error>(wait).value_or(entry_error::kNoAnswer);
+  return MakeError(error, absl::StrCat("version ", committed.version,
+                                       " is committed, but waiting failed: ", MessageOf(wait)));
+}
+
 /// Some failures won't go away by waiting.
 bool IsFinal(const absl::Status& status) {
   const std::optional<entry_error> error = ErrorOf<entry_error>(status);
@@ -98,7 +108,7 @@
   if (line.after == after_change::kReturn) {
     return absl::OkStatus();
   }
-  return WaitInForce(committed.version, line.form, budget, client, context);
+  return AfterCommit(committed, WaitInForce(committed.version, line.form, budget, client, context));
 }
 
 absl::Status WaitInForce(uint64_t version, output_form form, const time_budget& budget,
--- a/utilities/wagtailctl/entry_client.cc
+++ b/utilities/wagtailctl/entry_client.cc
@@ -48,21 +48,16 @@
 }
 
 std::string Described(const http_response& response, const error_answer& answer) {
-  std::string text = absl::StrCat("answer ", response.status);
-  if (!answer.error.empty()) {
-    absl::StrAppend(&text, " ", answer.error);
-  }
-  if (!answer.message.empty()) {
-    absl::StrAppend(&text, ": ", answer.message);
-  }
-  return text;
+  const std::string code =
+      absl::StrCat("answer ", response.status, answer.error.empty() ? "" : " ", answer.error);
+  return answer.message.empty() ? code : absl::StrCat(answer.message, " (", code, ")");
 }
 
-/// The fields are those of the change in place when the entry answered. Two changes that meet in
-/// the table are told without them.
+/// The message comes from the check that refused the change, so it goes before the fields, which an
+/// entry fills in from what it knew at the time.
 std::string ConflictOf(const error_answer& answer) {
-  if (answer.other_author.empty()) {
-    return answer.message + "; see the audit trail";
+  if (!answer.message.empty()) {
+    return answer.message;
   }
   return absl::StrCat("operator ", answer.other_author, " made version ", answer.version,
                       " with change ", answer.other_change_id);
