Hold teams to their quotas

Change: a new job is charged to its team at its owner before dispatch; refusals are final answers with a time to come back; each serving entry grants its share; a job that did not run costs no starts. Joins are not charged. Ruled out: a shared counter in the table (a write per job).

--- a/libraries/entry/answer_json.cc
+++ b/libraries/entry/answer_json.cc
@@ -10,6 +10,7 @@
 using json = nlohmann::json;
 
 constexpr int kOk = 200;
+constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -21,6 +22,9 @@
   if (answer.reason == "deadline_exceeded") {
     return kGatewayTimeout;
   }
+  if (answer.reason == kQuotaExceeded) {
+    return kTooManyRequests;
+  }
   return answer.outcome == job_outcome::kFailedNotRun ? kUnavailable : kBadGateway;
 }
 
--- a/libraries/entry/answer_json.h
+++ b/libraries/entry/answer_json.h
@@ -9,6 +9,9 @@
 
 namespace wagtail {
 
+/// Reason of a job that its team's quota did not admit.
+inline constexpr std::string_view kQuotaExceeded = "quota_exceeded";
+
 /// Why a request was turned away before any task of it could start.
 struct request_refusal {
   int status = 400;        ///< HTTP status
--- a/libraries/entry/dispatch_controller.cc
+++ b/libraries/entry/dispatch_controller.cc
@@ -38,6 +38,11 @@
   return static_cast<uint64_t>(ToMilliseconds(MonotonicNow() - started_));
 }
 
+bool dispatch_controller::IsExpired(uint64_t minted_uptime_ms) const {
+  auto life_ms = static_cast<uint64_t>(ToMilliseconds(options_.dispatcher.jobs.id_life));
+  return UptimeMs() > minted_uptime_ms + life_ms;
+}
+
 void dispatch_controller::OnTargetRow(const target_row& row, uint64_t revision) {
   const std::string& name = row.incarnation.target;
   auto known = targets_.find(name);
--- a/libraries/entry/dispatch_controller.h
+++ b/libraries/entry/dispatch_controller.h
@@ -56,6 +56,8 @@
   target_link* LinkTo(const std::string& target);
   std::vector<target_status> Targets() const;
   uint64_t UptimeMs() const;
+  /// @return whether an id minted at this uptime of this entry is past its life
+  bool IsExpired(uint64_t minted_uptime_ms) const;
 
  private:
   struct linked_target {
--- a/libraries/entry/entry_context.h
+++ b/libraries/entry/entry_context.h
@@ -3,7 +3,7 @@
 #include <atomic>
 #include <string>
 
-#include "absl/status/status.h"
+#include "admission/team_quota.h"
 #include "base/identifiers.h"
 #include "entry/configuration_controller.h"
 #include "entry/dispatch_controller.h"
@@ -29,6 +29,7 @@
   table& platform_table;
   job_id_codec& ids;
   entry_metrics& metrics;
+  team_quotas& quotas;
   snapshot_cell<entry_view>& view;
   std::atomic<uint64_t>& next_sequence;
   std::atomic<uint64_t>& registry_revision;  ///< up to which the rows of targets are known
--- a/libraries/entry/entry_daemon.cc
+++ b/libraries/entry/entry_daemon.cc
@@ -62,6 +62,7 @@
   void SweepOldKeys();
   void WriteRegistration(entry_state state);
   void PublishView();
+  void ApplyQuotas();
   target_policy PolicyFor(const target_row& row, const target_report& report);
   kj::Promise<fence_report> Fence(const target_incarnation& target, const job_key& job,
                                   uint64_t minted_uptime_ms);
@@ -75,6 +76,7 @@
   job_id_codec ids;
   metrics_registry registry;
   entry_metrics metrics{registry};
+  team_quotas quotas;
   snapshot_cell<entry_view> view{std::make_unique<const entry_view>()};
   std::atomic<uint64_t> next_sequence = 0;
   std::atomic<uint64_t> registry_revision = 0;
@@ -107,6 +109,7 @@
       ids(options.cluster_key),
       configuration([this](const wagtail::configuration& current) {
         dispatch->ApplyConfiguration(current);
+        ApplyQuotas();
         PublishView();
       }) {
   loop.Run([this] {
@@ -152,6 +155,7 @@
                             .platform_table = platform_table,
                             .ids = ids,
                             .metrics = metrics,
+                            .quotas = quotas,
                             .view = view,
                             .next_sequence = next_sequence,
                             .registry_revision = registry_revision,
@@ -196,7 +200,9 @@
     return found == round.rows.end() ? std::nullopt : std::optional<table_row>(*found);
   };
   table_changes changes{.revision = round.revision, .rows = round.rows};
-  entries.OnChanges(changes);
+  if (!entries.OnChanges(changes).empty()) {
+    ApplyQuotas();
+  }
   OnTargetEvents(changes);
   freshness->OnRead(round.started, row_of(kConfigurationKey), row_of(kVotersKey));
   registry_revision.store(targets.revision());
@@ -282,6 +288,19 @@
       std::make_unique<const entry_view>(MakeEntryView(configuration.current(), stopping)));
 }
 
+void entry_daemon::parts::ApplyQuotas() {
+  // The balancer spreads callers evenly, so each entry grants its share of a team's quota; a share
+  // always holds one whole job.
+  auto shares = static_cast<uint32_t>(std::max<size_t>(1, entries.Present().size()));
+  for (const auto& [name, team] : configuration.current().teams) {
+    team_limits limits;
+    limits.starts_per_second = team.starts_per_second / shares;
+    limits.burst_tasks = std::max(team.burst_tasks / shares, kMaxTasksPerJob);
+    limits.max_tasks_in_flight = std::max(team.max_tasks_in_flight / shares, kMaxTasksPerJob);
+    quotas.SetLimits(name, limits);
+  }
+}
+
 target_policy entry_daemon::parts::PolicyFor(const target_row& row, const target_report& report) {
   freshness->OnTargetConfirmed(row.incarnation, report.enforced_version);
   return {.configuration_version = freshness->version(),
--- a/libraries/entry/job_service.cc
+++ b/libraries/entry/job_service.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "admission/admission_error.h"
 #include "entry/answer_json.h"
 #include "logging/logging.h"
 #include "membership/possible_places.h"
@@ -24,6 +25,18 @@
                         "the job id was used before with another body");
 }
 
+// Ends a job's claim on its team's quota; one of which nothing ran costs no starts.
+void GiveBack(const std::shared_ptr<team_quota>& quota, uint32_t tasks, const job_answer& answer) {
+  if (quota == nullptr) {
+    return;
+  }
+  if (answer.outcome == job_outcome::kFailedNotRun) {
+    quota->Revoke(tasks);
+  } else {
+    quota->Release(tasks);
+  }
+}
+
 }  // namespace
 
 void job_service::Submit(checked_submission submission, const respond_hook& respond) {
@@ -48,9 +61,20 @@
         {.status = kUnprocessable, .error = "unknown_service", .message = MessageOf(filled)}));
     return;
   }
-  auto answer = [this, respond, id = submission.id_text,
+  auto tasks = static_cast<uint32_t>(job.tasks.size());
+  bool is_known = context_.dispatch.decisions().FindJob(job.key) != nullptr;
+  std::shared_ptr<team_quota> quota;
+  if (!is_known && !context_.dispatch.IsExpired(job.minted_uptime_ms)) {
+    std::optional<std::shared_ptr<team_quota>> admitted = Admit(submission, tasks, respond);
+    if (!admitted.has_value()) {
+      return;
+    }
+    quota = *std::move(admitted);
+  }
+  auto answer = [this, respond, quota, tasks, id = submission.id_text,
                  submitted_at = MonotonicNow()](const job_answer& answer) {
     context_.metrics.OnAnswer(answer, MonotonicNow() - submitted_at);
+    GiveBack(quota, tasks, answer);
     respond(RespondWith(id, answer));
   };
   switch (context_.dispatch.Submit(std::move(job), answer)) {
@@ -67,6 +91,25 @@
   }
 }
 
+std::optional<std::shared_ptr<team_quota>> job_service::Admit(const checked_submission& submission,
+                                                              uint32_t tasks,
+                                                              const respond_hook& respond) {
+  std::shared_ptr<team_quota> quota = context_.quotas.Find(submission.id.team);
+  if (quota == nullptr) {
+    return quota;
+  }
+  absl::Status admitted = quota->TryAdmit(tasks, MonotonicNow());
+  if (admitted.ok()) {
+    return quota;
+  }
+  // The owner knows every job that it took in while the id lives: this one was not among them.
+  job_answer refused{.reason = std::string(kQuotaExceeded), .results = {}};
+  refused.retry_after = RetryAfterOf(admitted).value_or(duration::zero());
+  context_.metrics.OnRefusal(kQuotaExceeded);
+  respond(RespondWith(submission.id_text, refused));
+  return std::nullopt;
+}
+
 void job_service::Forward(const std::shared_ptr<checked_submission>& submission,
                           const respond_hook& respond) {
   const job_id& id = submission->id;
--- a/libraries/entry/job_service.h
+++ b/libraries/entry/job_service.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 
 #include "entry/entry_context.h"
@@ -34,6 +36,11 @@
   void CancelOwned(const job_id& id, const respond_hook& respond);
 
  private:
+  /// Charges a new job to its team's quota.
+  /// @param respond answered if the quota refuses; the job is then not remembered
+  /// @return the quota to give back to; empty if refused
+  std::optional<std::shared_ptr<team_quota>> Admit(const checked_submission& submission,
+                                                   uint32_t tasks, const respond_hook& respond);
   void Forward(const std::shared_ptr<checked_submission>& submission, const respond_hook& respond);
   void Recover(const checked_submission& submission, respond_hook respond);
   recovery_places PlacesOf(const checked_submission& submission) const;
--- a/libraries/entry/table_watcher.cc
+++ b/libraries/entry/table_watcher.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> kWatchedPrefixes = {"configuration", "voters", "target/",
-                                                              "entry/"};
+// The row of voters lies under the prefix of the configuration, so that one read brings both.
+constexpr std::array<std::string_view, 3> kWatchedPrefixes = {"configuration", "target/", "entry/"};
 
 }  // namespace
 
