--- a/libraries/target/target_daemon.cc
+++ b/libraries/target/target_daemon.cc
@@ -91,7 +91,7 @@
   row.cores = target.cores;
   row.memory_mb = target.memory_mb;
   row.accelerator = target.accelerator;
-  row.address = absl::StrCat(options_.rpc_address, ":", rpc_port_);
+  row.address = AnnouncedAddress();
   while (true) {
     absl::StatusOr<recorded_target_row> announced = wagtail::Announce(table_, row);
     if (announced.ok()) {
@@ -106,6 +106,14 @@
   }
 }
 
+std::string target_daemon::AnnouncedAddress() const {
+  const std::string& address = options_.announced_rpc_address.empty()
+                                   ? options_.rpc_address
+                                   : options_.announced_rpc_address;
+  uint16_t port = options_.announced_rpc_port == 0 ? rpc_port_ : options_.announced_rpc_port;
+  return absl::StrCat(address, ":", port);
+}
+
 void target_daemon::BeginWork(recorded_target_row announced, const target_announcement& target) {
   start_ledger_options ledger;
   ledger.self = announced.row.incarnation;
--- a/libraries/target/target_daemon.h
+++ b/libraries/target/target_daemon.h
@@ -30,9 +30,12 @@
   std::string target;  ///< name of the target, stable over restarts
   std::string failure_domain;
   std::string rpc_address = "127.0.0.1";
-  uint16_t rpc_port = 0;     ///< 0 takes an ephemeral port
-  std::string cluster_key;   ///< shared by all processes of the system
-  uint32_t queue_limit = 2;  ///< tasks accepted beyond the target's slots
+  uint16_t rpc_port = 0;  ///< 0 takes an ephemeral port
+  /// Where entries are told to connect, if not to the two above: behind a forwarded address.
+  std::string announced_rpc_address;  ///< empty: rpc_address
+  uint16_t announced_rpc_port = 0;    ///< 0: the port that is listened on
+  std::string cluster_key;            ///< shared by all processes of the system
+  uint32_t queue_limit = 2;           ///< tasks accepted beyond the target's slots
   duration id_life = std::chrono::minutes(5);
   freshness_settings freshness;
   duration announce_retry = std::chrono::milliseconds(500);
@@ -84,6 +87,7 @@
 
  private:
   void AnnounceMain(const target_announcement& target);
+  std::string AnnouncedAddress() const;
   void BeginWork(recorded_target_row announced, const target_announcement& target);
   void Accepting(kj::Own<kj::ConnectionReceiver> receiver);
   void Pump();
--- a/services/targetd/targetd_settings.cc
+++ b/services/targetd/targetd_settings.cc
@@ -21,6 +21,9 @@
     daemon.failure_domain = file.RequiredText("failure_domain", NameRule());
     daemon.rpc_address = file.Text("rpc_address", daemon.rpc_address);
     daemon.rpc_port = static_cast<uint16_t>(file.Unsigned("rpc_port", 0, {0, kMaxPort}));
+    daemon.announced_rpc_address = file.Text("announced_rpc_address", "");
+    daemon.announced_rpc_port =
+        static_cast<uint16_t>(file.Unsigned("announced_rpc_port", 0, {0, kMaxPort}));
     settings.http_address = file.Text("http_address", settings.http_address);
     settings.http_port = static_cast<uint16_t>(file.Unsigned("http_port", 0, {0, kMaxPort}));
     daemon.cluster_key = file.RequiredSecret(
--- /dev/null
+++ b/tests/process/child_process.cc
@@ -0,0 +1,111 @@
+#include "tests/process/child_process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+#include "base/verify.h"
+
+namespace wagtail {
+
+namespace {
+
+constexpr int kCannotExecute = 127;
+constexpr int kFileMode = 0600;
+
+std::string ReadAll(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+// Runs in the child between fork and exec: system calls only.
+[[noreturn]] void Execute(const char* program, const char* settings, const char* output,
+                          const char* errors) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  dup2(open(output, O_WRONLY | O_CREAT | O_TRUNC, kFileMode), STDOUT_FILENO);
+  dup2(open(errors, O_WRONLY | O_CREAT | O_APPEND, kFileMode), STDERR_FILENO);
+  execl(program, program, "--settings", settings, static_cast<char*>(nullptr));
+  _exit(kCannotExecute);
+}
+
+}  // namespace
+
+child_process::child_process(const std::string& program, const std::filesystem::path& folder,
+                             const std::string& name, const std::string& settings)
+    : output_(folder / (name + ".out")), errors_(folder / (name + ".err")) {
+  const char* bin = std::getenv("WAGTAIL_BIN");
+  VERIFY(bin != nullptr);
+  std::string path = std::string(bin) + "/" + program;
+  std::filesystem::path settings_path = folder / (name + ".jsonc");
+  std::ofstream(settings_path) << settings;
+  std::ofstream(output_) << "";  // the lines of an earlier process of the same name go
+  pid_ = fork();
+  VERIFY(pid_ >= 0);
+  if (pid_ == 0) {
+    Execute(path.c_str(), settings_path.c_str(), output_.c_str(), errors_.c_str());
+  }
+}
+
+child_process::~child_process() { End(); }
+
+std::optional<child_ports> child_process::WaitListening() {
+  child_ports ports;
+  bool listens = Eventually([this, &ports] {
+    std::string text = ReadAll(output_);
+    unsigned http = 0;
+    unsigned rpc = 0;
+    if (std::sscanf(text.c_str(), "listening http=%u rpc=%u\n", &http, &rpc) == 2 ||
+        std::sscanf(text.c_str(), "listening %u\n", &http) == 1) {
+      ports = {.http = static_cast<uint16_t>(http), .rpc = static_cast<uint16_t>(rpc)};
+      return text.ends_with('\n');
+    }
+    return !IsRunning();
+  });
+  return listens && ports.http != 0 ? std::optional(ports) : std::nullopt;
+}
+
+void child_process::Kill(int signal) {
+  was_signalled_ = true;
+  if (IsRunning()) {
+    kill(pid_, signal);
+  }
+}
+
+bool child_process::Reap(int flags) {
+  if (exit_.has_value()) {
+    return true;
+  }
+  int status = 0;
+  if (waitpid(pid_, &status, flags) != pid_) {
+    return false;
+  }
+  exit_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  return true;
+}
+
+std::optional<int> child_process::WaitExit(duration limit) {
+  Eventually([this] { return Reap(WNOHANG); }, limit);
+  return exit_;
+}
+
+void child_process::End() {
+  if (!Reap(WNOHANG)) {
+    was_signalled_ = true;
+    kill(pid_, SIGKILL);
+    Reap(0);
+  }
+}
+
+bool child_process::IsRunning() { return !Reap(WNOHANG); }
+
+std::string child_process::StandardError() const { return ReadAll(errors_); }
+
+}  // namespace wagtail
--- /dev/null
+++ b/tests/process/target_loss_test.cc
@@ -0,0 +1,138 @@
+#include <csignal>
+#include <string>
+#include <thread>
+
+#include "http/http_client.h"
+#include "tests/process/polling.h"
+// Last: CppUTest's macros must not reach the library headers.
+#include "tests/process/cluster_test_group.h"
+
+namespace wagtail {
+
+namespace {
+
+constexpr int kServiceUnavailable = 503;
+constexpr unsigned kLongRunMs = 1500;
+// Nothing that must not start was seen to start for as long as several tasks would have taken.
+constexpr duration kQuietSpan = std::chrono::seconds(2);
+
+}  // namespace
+
+TEST_GROUP_BASE(TargetLoss, cluster_test_group){
+    // Waits until the daemon itself says that it would start nothing.
+    bool WaitStale(size_t index){
+        std::string url = "http://127.0.0.1:" + std::to_string(cluster->daemon_ports(index).http) +
+                          "/readyz";
+return Eventually([&url] {
+  absl::StatusOr<http_response> answer = CallHttp({.url = url});
+  return answer.ok() && answer->status == kServiceUnavailable;
+});
+}  // namespace wagtail
+// Checks that the target starts nothing while its daemon has no fresh configuration.
+void CheckStartsNothing(size_t index) {
+  uint64_t starts = cluster->Starts(index);
+  CHECK(Eventually([&] { return cluster->Running(index) == 0; }));
+  std::this_thread::sleep_for(kQuietSpan);
+  LONGS_EQUAL(starts, cluster->Starts(index));
+}
+}
+;
+
+// A daemon that lost its record makes its jobs fail at once and truthfully; its next incarnation
+// takes new work.
+TEST(TargetLoss, KilledDaemonFailsItsJobsAndReturnsAsNewIncarnation) {
+  constexpr unsigned kVeryLongRunMs = 20'000;
+  Launch({.targets = Courts(1)});
+  caller club(*cluster);
+  std::string id = club.Mint(0);
+  std::string job = JobOf(3, kVeryLongRunMs);
+  auto first = club.SubmitLater(0, id, job);
+  CHECK(Eventually([this] { return cluster->TotalStarts() == 3; }));
+  cluster->daemon(0).Kill(SIGKILL);
+  CHECK(cluster->RestartDaemon(0));
+  final_answer answer = first.get();
+  STRCMP_EQUAL("failed_may_have_run", answer.outcome().c_str());
+  STRCMP_EQUAL("target_lost", answer.reason().c_str());
+  STRCMP_EQUAL(answer.body.c_str(), club.Submit(1, id, job).body.c_str());
+  CHECK(cluster->WaitReady(1));
+  // The lost tasks still hold slots of the target, which knows nothing of its daemon's end.
+  STRCMP_EQUAL("complete", club.Submit(1, club.Mint(1), JobOf(2, 20)).outcome().c_str());
+}
+
+// A connection that goes silent for good is replaced, and what was sent on it is settled.
+TEST(TargetLoss, SilentConnectionIsReplacedAndItsTasksSettled) {
+  Launch({.targets = Courts(1, {.path = link_path::kRelayed})});
+  caller club(*cluster);
+  auto first = club.SubmitLater(0, club.Mint(0), JobOf(4, kLongRunMs));
+  CHECK(Eventually([this] { return cluster->TotalStarts() == 4; }));
+  cluster->relay(0).SetMode(relay_mode::kSilent);
+  STRCMP_EQUAL("complete", first.get().outcome().c_str());
+  CHECK(cluster->WaitReady(1));
+  STRCMP_EQUAL("complete", club.Submit(1, club.Mint(1), JobOf(2, 20)).outcome().c_str());
+  LONGS_EQUAL(6, cluster->TotalStarts());
+}
+
+// The same twice, with jobs handed over while the connection is already silent.
+TEST(TargetLoss, TasksSentIntoASilentConnectionRunOnce) {
+  Launch({.targets = Courts(1, {.path = link_path::kRelayed})});
+  caller club(*cluster);
+  for (int round = 0; round < 2; ++round) {
+    cluster->relay(0).SetMode(relay_mode::kSilent);
+    auto first = club.SubmitLater(0, club.Mint(0), JobOf(4, 50));
+    auto second = club.SubmitLater(1, club.Mint(1), JobOf(4, 50));
+    CHECK(!first.get().outcome().empty());
+    CHECK(!second.get().outcome().empty());
+    CHECK(cluster->WaitReady(1));
+  }
+  STRCMP_EQUAL("complete", club.Submit(0, club.Mint(0), JobOf(2, 20)).outcome().c_str());
+}
+
+// Late answers reach the job that they belong to.
+TEST(TargetLoss, LateAnswersReachTheirOwnJob) {
+  constexpr duration kDelay = std::chrono::milliseconds(300);
+  Launch({.targets = Courts(2, {.path = link_path::kRelayed})});
+  cluster->relay(0).SetDelay(kDelay, kDelay);
+  caller club(*cluster);
+  std::vector<std::future<final_answer>> answers;
+  for (size_t count = 1; count <= 8; ++count) {
+    answers.push_back(club.SubmitLater(count % 2, club.Mint(count % 2), JobOf(count, 20)));
+  }
+  for (std::future<final_answer>& pending : answers) {
+    STRCMP_EQUAL("complete", pending.get().outcome().c_str());
+  }
+}
+
+// A daemon that hears from no entry starts nothing once its configuration may be out of date, not
+// even what it had accepted before.
+TEST(TargetLoss, DaemonCutOffFromAllEntriesStartsNothing) {
+  Launch({.targets = Courts(1, {.slots = 1, .path = link_path::kRelayed})});
+  caller club(*cluster);
+  auto first = club.SubmitLater(0, club.Mint(0), JobOf(4, 5000));
+  CHECK(Eventually([this] { return cluster->TotalStarts() == 1; }));
+  cluster->relay(0).SetMode(relay_mode::kBlackHole);
+  CHECK(WaitStale(0));
+  CheckStartsNothing(0);
+  cluster->relay(0).SetMode(relay_mode::kPass);
+  CHECK(!first.get().outcome().empty());
+  CHECK(cluster->WaitReady(1));
+  STRCMP_EQUAL("complete", club.Submit(0, club.Mint(0), JobOf(2, 20)).outcome().c_str());
+}
+
+// The same when every entry is frozen; the entries then go on.
+TEST(TargetLoss, DaemonOfFrozenEntriesStartsNothing) {
+  Launch({.targets = Courts(1, {.slots = 1})});
+  caller club(*cluster);
+  auto first = club.SubmitLater(0, club.Mint(0), JobOf(4, 5000));
+  CHECK(Eventually([this] { return cluster->TotalStarts() == 1; }));
+  cluster->entry(0).Kill(SIGSTOP);
+  cluster->entry(1).Kill(SIGSTOP);
+  CHECK(WaitStale(0));
+  CheckStartsNothing(0);
+  cluster->entry(0).Kill(SIGCONT);
+  cluster->entry(1).Kill(SIGCONT);
+  CHECK(!first.get().outcome().empty());
+  CHECK(cluster->WaitReady(1));
+  STRCMP_EQUAL("complete", club.Submit(1, club.Mint(1), JobOf(2, 20)).outcome().c_str());
+}
+
+}  // namespace wagtail
