--- a/libraries/dispatch/dispatcher.cc
+++ b/libraries/dispatch/dispatcher.cc
@@ -203,6 +203,7 @@
   placement_->OnResult(target, outcome, result.run_time, load, now);
   owned_job& job = *jobs_.Find(result.key.job);
   Release(target, job, result.key);
+  job.longest_in_stage = std::max(job.longest_in_stage, result.run_time);
   TaskEnded(job, result.key, result.completed, std::move(result.body),
             result.timed_out ? "task_timed_out" : "task_failed");
   Pump(now);
@@ -274,6 +275,7 @@
   auto queue = waiting_.find(job.submission.tasks.at(key.index).service);
   VERIFY(queue != waiting_.end());
   queue->second.tasks.push_front(key);
+  ++queue->second.waiting;
   task.progress = task_progress::kWaiting;
   ++waiting_count_;
 }
@@ -297,6 +299,7 @@
     return;
   }
   ++job.stage;
+  job.run_time += std::exchange(job.longest_in_stage, duration::zero());
   OpenStage(job);
 }
 
@@ -339,6 +342,7 @@
     queue.requirements = need->requirements;
   }
   queue.tasks.push_back({.job = job.submission.key, .index = index});
+  ++queue.waiting;
   ++waiting_count_;
 }
 
@@ -350,6 +354,7 @@
 
 void dispatcher::PumpService(std::string_view service, waiting_queue& queue, instant now) {
   DropStale(queue);
+  placement_->SetWaiting(service, queue.waiting);
   while (!queue.tasks.empty()) {
     task_key key = queue.tasks.front();
     if (IsWaiting(key) && !OfferTask(service, queue, key, *jobs_.Find(key.job), now)) {
@@ -366,13 +371,19 @@
 }
 
 void dispatcher::DropStale(waiting_queue& queue) {
-  if (queue.tasks.size() > 2 * waiting_count_ + kStaleSlack) {
+  if (queue.tasks.size() > 2 * size_t{queue.waiting} + kStaleSlack) {
     std::erase_if(queue.tasks, [this](const task_key& key) { return !IsWaiting(key); });
   }
 }
 
-bool dispatcher::OfferTask(std::string_view service, const waiting_queue& queue,
-                           const task_key& key, owned_job& job, instant now) {
+void dispatcher::NoLongerWaiting(waiting_queue& queue) {
+  VERIFY(queue.waiting > 0 && waiting_count_ > 0);
+  --queue.waiting;
+  --waiting_count_;
+}
+
+bool dispatcher::OfferTask(std::string_view service, waiting_queue& queue, const task_key& key,
+                           owned_job& job, instant now) {
   owned_task& task = job.tasks.at(key.index);
   std::vector<target_incarnation> excluded = ExcludedFor(job, task);
   std::optional<target_incarnation> target =
@@ -385,8 +396,7 @@
   VERIFY(task.progress == task_progress::kWaiting);
   task.progress = task_progress::kSent;
   task.target = *target;
-  VERIFY(waiting_count_ > 0);
-  --waiting_count_;
+  NoLongerWaiting(queue);
   ++job.handed_over;
   known.handed_over.insert(key);
   placement_->OnSent(*target, now);
@@ -429,6 +439,7 @@
   VERIFY(job.handed_over == 0);
   job_answer answer{.outcome = job_outcome::kComplete, .reason = "", .results = {}};
   answer.started = static_cast<uint32_t>(job.tasks.size());
+  answer.run_time = job.run_time;
   for (uint32_t index = 0; index < job.tasks.size(); ++index) {
     owned_task& task = job.tasks[index];
     VERIFY(task.progress == task_progress::kCompleted);
@@ -452,7 +463,9 @@
     if (task.progress == task_progress::kSent) {
       actions_.emplace_back(withdraw_action{task.target, RequestFor(job, index)});
     } else if (!IsHandedOver(task.progress) && !IsKnownStarted(task)) {
-      waiting_count_ -= task.progress == task_progress::kWaiting ? 1 : 0;
+      if (task.progress == task_progress::kWaiting) {
+        NoLongerWaiting(waiting_.find(job.submission.tasks[index].service)->second);
+      }
       task.progress = task_progress::kDropped;
     }
     task.body.clear();
