--- a/meta/cmake/WagtailPackages.cmake
+++ b/meta/cmake/WagtailPackages.cmake
@@ -5,6 +5,8 @@
 find_package(CLI11 REQUIRED)
 find_package(nlohmann_json REQUIRED)
 pkg_check_modules(ulfius REQUIRED IMPORTED_TARGET libulfius liborcania)
+# libulfius-dev brings libmicrohttpd, its server underneath.
+pkg_check_modules(microhttpd REQUIRED IMPORTED_TARGET libmicrohttpd)
 pkg_check_modules(capnp REQUIRED IMPORTED_TARGET capnp-rpc)
 pkg_check_modules(log4cxx REQUIRED IMPORTED_TARGET liblog4cxx)
 pkg_check_modules(urcu REQUIRED IMPORTED_TARGET liburcu-memb)
