--- a/libraries/entry/target_link.cc
+++ b/libraries/entry/target_link.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "rpc/batching_stream.h"
 #include "rpc/handshake.h"
 #include "rpc/require.h"
 #include "rpc/wire_codec.h"
@@ -11,7 +12,7 @@
 /// One connection with all that hangs on it.
 struct target_link::connection {
   explicit connection(kj::Own<kj::AsyncIoStream> stream)
-      : stream(kj::mv(stream)), client(*this->stream) {}
+      : stream(Batching(kj::mv(stream))), client(*this->stream) {}
 
   kj::Own<kj::AsyncIoStream> stream;
   capnp::TwoPartyClient client;
--- /dev/null
+++ b/libraries/rpc/batching_stream.cc
@@ -0,0 +1,163 @@
+#include "rpc/batching_stream.h"
+
+#include <algorithm>
+#include <cstring>
+#include <vector>
+
+namespace wagtail {
+
+namespace {
+
+constexpr size_t kReadBytes = 4096;
+// Written at once from here on, to bound what one turn keeps.
+constexpr size_t kMostPendingBytes = 256 * 1024;
+// Room that an idle connection keeps.
+constexpr size_t kKeptCapacity = 4096;
+
+class batching_stream final : public kj::AsyncIoStream {
+ public:
+  explicit batching_stream(kj::Own<kj::AsyncIoStream> inner) : inner_(kj::mv(inner)) {}
+
+  // NOLINTBEGIN(readability-identifier-naming): names of the base class
+  kj::Promise<size_t> tryRead(void* buffer, size_t min_bytes, size_t max_bytes) override {
+    return ReadMore(static_cast<kj::byte*>(buffer), 0, min_bytes, max_bytes);
+  }
+
+  kj::Promise<void> write(const void* buffer, size_t size) override {
+    Append({static_cast<const kj::byte*>(buffer), size});
+    return AfterAppend();
+  }
+
+  kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override {
+    for (kj::ArrayPtr<const kj::byte> piece : pieces) {
+      Append(piece);
+    }
+    return AfterAppend();
+  }
+
+  kj::Promise<void> whenWriteDisconnected() override { return inner_->whenWriteDisconnected(); }
+
+  void shutdownWrite() override {
+    ends_ = true;
+    if (pending_.empty() && !is_flushing_) {
+      inner_->shutdownWrite();
+    }
+  }
+
+  void abortRead() override { inner_->abortRead(); }
+  void getsockopt(int level, int option, void* value, kj::uint* length) override {
+    inner_->getsockopt(level, option, value, length);
+  }
+  void setsockopt(int level, int option, const void* value, kj::uint length) override {
+    inner_->setsockopt(level, option, value, length);
+  }
+  void getsockname(sockaddr* address, kj::uint* length) override {
+    inner_->getsockname(address, length);
+  }
+  void getpeername(sockaddr* address, kj::uint* length) override {
+    inner_->getpeername(address, length);
+  }
+  kj::Maybe<int> getFd() const override { return inner_->getFd(); }
+  // NOLINTEND(readability-identifier-naming)
+
+ private:
+  /// @param done bytes of the reader's buffer that are filled already
+  kj::Promise<size_t> ReadMore(kj::byte* buffer, size_t done, size_t min_bytes, size_t max_bytes) {
+    size_t taken = std::min(max_bytes - done, filled_ - taken_);
+    std::memcpy(buffer + done, read_ + taken_, taken);
+    taken_ += taken;
+    done += taken;
+    if (done >= min_bytes) {
+      return done;
+    }
+    if (max_bytes - done >= kReadBytes) {
+      return inner_->tryRead(buffer + done, min_bytes - done, max_bytes - done)
+          .then([done](size_t more) { return done + more; });
+    }
+    return inner_->tryRead(read_, min_bytes - done, kReadBytes)
+        .then([this, buffer, done, min_bytes, max_bytes](size_t more) -> kj::Promise<size_t> {
+          taken_ = 0;
+          filled_ = more;
+          if (more < min_bytes - done) {
+            return ReadMore(buffer, done, 0, max_bytes);  // the end of the stream
+          }
+          return ReadMore(buffer, done, min_bytes, max_bytes);
+        });
+  }
+
+  void Append(kj::ArrayPtr<const kj::byte> bytes) {
+    pending_.insert(pending_.end(), bytes.begin(), bytes.end());
+  }
+
+  kj::Promise<void> AfterAppend() {
+    if (pending_.size() < kMostPendingBytes) {
+      if (!is_flushing_) {
+        is_flushing_ = true;
+        flush_ = kj::evalLast([this] { return Flush(); }).eagerlyEvaluate(nullptr);
+      }
+      return kj::READY_NOW;
+    }
+    // Too much for one turn: the writer waits until it has left.
+    kj::Promise<void> before = is_flushing_ ? kj::mv(flush_) : kj::Promise<void>(kj::READY_NOW);
+    is_flushing_ = true;
+    auto fork = before.then([this] { return Flush(); }).fork();
+    flush_ = fork.addBranch().eagerlyEvaluate(nullptr);
+    return fork.addBranch();
+  }
+
+  kj::Promise<void> Flush() {
+    std::swap(pending_, leaving_);
+    if (leaving_.empty()) {
+      is_flushing_ = false;
+      if (ends_) {
+        inner_->shutdownWrite();
+      }
+      return kj::READY_NOW;
+    }
+    return inner_->write(leaving_.data(), leaving_.size()).then([this] {
+      leaving_.clear();
+      if (leaving_.capacity() > kKeptCapacity) {
+        leaving_ = {};
+      }
+      return Flush();
+    });
+  }
+
+  kj::Own<kj::AsyncIoStream> inner_;
+  kj::byte read_[kReadBytes];  // NOLINT(modernize-avoid-c-arrays): handed to read as raw memory
+  size_t taken_ = 0;           // of `filled_`
+  size_t filled_ = 0;          // of `read_`
+  std::vector<kj::byte> pending_;
+  std::vector<kj::byte> leaving_;
+  bool is_flushing_ = false;
+  bool ends_ = false;
+  kj::Promise<void> flush_ = kj::READY_NOW;
+};
+
+class batching_receiver final : public kj::ConnectionReceiver {
+ public:
+  explicit batching_receiver(kj::Own<kj::ConnectionReceiver> inner) : inner_(kj::mv(inner)) {}
+
+  // NOLINTBEGIN(readability-identifier-naming): names of the base class
+  kj::Promise<kj::Own<kj::AsyncIoStream>> accept() override {
+    return inner_->accept().then(
+        [](kj::Own<kj::AsyncIoStream> stream) { return Batching(kj::mv(stream)); });
+  }
+  kj::uint getPort() override { return inner_->getPort(); }
+  // NOLINTEND(readability-identifier-naming)
+
+ private:
+  kj::Own<kj::ConnectionReceiver> inner_;
+};
+
+}  // namespace
+
+kj::Own<kj::AsyncIoStream> Batching(kj::Own<kj::AsyncIoStream> inner) {
+  return kj::heap<batching_stream>(kj::mv(inner));
+}
+
+kj::Own<kj::ConnectionReceiver> Batching(kj::Own<kj::ConnectionReceiver> inner) {
+  return kj::heap<batching_receiver>(kj::mv(inner));
+}
+
+}  // namespace wagtail
--- a/utilities/capacity_bench/fake_targets.cc
+++ b/utilities/capacity_bench/fake_targets.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "rpc/batching_stream.h"
 
 namespace wagtail {
 
@@ -54,7 +55,7 @@
       .getNetwork()
       .parseAddress("127.0.0.1")
       .then([this](kj::Own<kj::NetworkAddress> address) {
-        server_ = std::make_shared<rpc_server>(address->listen(),
+        server_ = std::make_shared<rpc_server>(Batching(address->listen()),
                                                MakeTargetGate(options_.cluster_key, hooks_));
       });
 }
