--- a/meta/cmake/WagtailInstall.cmake
+++ b/meta/cmake/WagtailInstall.cmake
@@ -5,7 +5,7 @@
 include(GNUInstallDirs)
 include(CMakePackageConfigHelpers)
 
-set(WAGTAIL_CORE_PARTS base settings configuration jobs dispatch ledger placement membership freshness)
+set(WAGTAIL_CORE_PARTS base admission settings configuration jobs dispatch ledger placement membership freshness)
 set(WAGTAIL_OTHER_PARTS entry http logging metrics rpc security snapshot table target)
 set(WAGTAIL_PUBLIC_HEADERS ${CMAKE_INSTALL_INCLUDEDIR}/wagtailplank)
 
