Operators' interface: a text must name its base, conflicts name the change in the way, jobs carry their signed id

Cause: found by reading and by a trial of racing operators: base version 0 on a text meant 'whatever is present', so two first texts would both commit; a 409 named the change of the entry's cached record; confirmed_version showed a table revision; the list of jobs showed keys that cancel does not take; two classes were named object_reader.

--- a/libraries/entry/configuration_controller.cc
+++ b/libraries/entry/configuration_controller.cc
@@ -79,7 +79,8 @@
     return earlier;
   }
   stored_configuration present = TRY(ReadConfiguration(table));
-  if (change.base_version == 0) {
+  // A mark may be set whatever else has changed; a text takes the place of one that its author saw.
+  if (change.base_version == 0 && change.kind != change_kind::kApplyText) {
     change.base_version = present.record.version;
   }
   configuration_record next = TRY(Apply(present.record, change));
@@ -102,6 +103,11 @@
   return committed.status();
 }
 
+absl::StatusOr<configuration_record> ReadPresentRecord(table& table) {
+  stored_configuration present = TRY(ReadConfiguration(table));
+  return std::move(present.record);
+}
+
 absl::StatusOr<audit_record> FindChange(table& table, std::string_view change_id) {
   std::string key = ChangeKey(change_id);
   table_changes changes = TRY(table.Read(key, 0));
--- a/libraries/entry/configuration_controller.h
+++ b/libraries/entry/configuration_controller.h
@@ -53,12 +53,16 @@
 
 /// Commits one change of the configuration together with its audit record; blocks. Settles a lost
 /// answer by reading back the change's own id.
+/// @param change base version 0 on a leave or return: whatever is present
 /// @param when wall time in RFC 3339, for people
 /// @return the audit record of the change as committed, now or by an earlier try, or a table or
 ///   configuration error
 absl::StatusOr<audit_record> CommitChange(table& table, configuration_change change,
                                           std::string_view when);
 
+/// @return the accepted configuration as the table has it now, or a table or configuration error
+absl::StatusOr<configuration_record> ReadPresentRecord(table& table);
+
 /// @return the audit record of a change, or NotFound if it was not committed
 absl::StatusOr<audit_record> FindChange(table& table, std::string_view change_id);
 
--- a/libraries/entry/operator_api.cc
+++ b/libraries/entry/operator_api.cc
@@ -40,30 +40,36 @@
   return RespondUnknown(status, error, MessageOf(reason));
 }
 
+// Names the change that stands in the way of a refused one.
+http_response RefuseConflict(const absl::Status& status, table& table) {
+  http_response response = Refuse(kConflict, "conflict", status);
+  absl::StatusOr<configuration_record> present = ReadPresentRecord(table);
+  if (!present.ok()) {
+    return response;
+  }
+  json body = json::parse(response.body);
+  body["other_author"] = present->author;
+  body["other_change_id"] = present->change_id;
+  body["version"] = present->version;
+  response.body = body.dump();
+  return response;
+}
+
 // Turns an error of the table or the configuration layer into the operators' answer.
-http_response RefuseChange(const absl::Status& status, const configuration_record& present) {
+http_response RefuseChange(const absl::Status& status, table& table) {
   if (auto error = ErrorOf<table_error>(status); error.has_value()) {
     switch (*error) {
       case table_error::kOutcomeUnknown:
         return Refuse(kServiceUnavailable, "outcome_unknown", status);
       case table_error::kConflict:
-        return Refuse(kConflict, "conflict", status);
+        return RefuseConflict(status, table);
       case table_error::kUnavailable:
       case table_error::kBadAnswer:
         return Refuse(kServiceUnavailable, "not_applied", status);
     }
   }
-  auto error = ErrorOf<configuration_error>(status);
-  if (error != configuration_error::kStaleBase) {
-    return Refuse(kUnprocessable, "refused", status);
-  }
-  http_response response = Refuse(kConflict, "conflict", status);
-  json body = json::parse(response.body);
-  body["other_author"] = present.author;
-  body["other_change_id"] = present.change_id;
-  body["version"] = present.version;
-  response.body = body.dump();
-  return response;
+  bool is_stale = ErrorOf<configuration_error>(status) == configuration_error::kStaleBase;
+  return is_stale ? RefuseConflict(status, table) : Refuse(kUnprocessable, "refused", status);
 }
 
 std::string_view ToString(missing_reason reason) {
@@ -178,9 +184,7 @@
             {{"author", author},
              {"change", change->change_id},
              {"error", MessageOf(committed.status())}});
-    configuration_record present;
-    context_.loop.Run([this, &present] { present = context_.configuration.record(); });
-    return RefuseChange(committed.status(), present);
+    return RefuseChange(committed.status(), context_.platform_table);
   }
   LogFact(log_level::kInfo, "change_committed",
           {{"author", author},
@@ -236,6 +240,12 @@
   return RespondJson(body.dump());
 }
 
+uint64_t operator_api::ConfirmedVersion(const target_status& target) const {
+  // A daemon confirms table revisions; of older ones the version is not known here.
+  bool is_newest = target.report.enforced_version >= context_.configuration.revision();
+  return is_newest ? context_.configuration.current().version : 0;
+}
+
 http_response operator_api::ShowTargets() {
   json targets = json::array();
   context_.loop.Run([this, &targets] {
@@ -248,7 +258,7 @@
                          {"running", target.report.load.running},
                          {"queued", target.report.load.queued},
                          {"state", StateOf(target, context_.configuration.current())},
-                         {"confirmed_version", target.report.enforced_version}});
+                         {"confirmed_version", ConfirmedVersion(target)}});
     }
   });
   return RespondJson(json({{"targets", targets}}).dump());
@@ -258,8 +268,13 @@
   json jobs = json::array();
   context_.loop.Run([this, &jobs] {
     context_.dispatch.decisions().ForEachInProgress(
-        [&jobs](const job_key& key, const owned_job& job) {
-          jobs.push_back({{"job", ToString(key)},
+        [this, &jobs](const job_key& key, const owned_job& job) {
+          job_id id{.key = key,
+                    .minted_uptime_ms = job.submission.minted_uptime_ms,
+                    .registry_revision = job.submission.registry_revision,
+                    .team = job.submission.team,
+                    .owner_address = context_.rpc_address};
+          jobs.push_back({{"job", context_.ids.Encode(id)},
                           {"team", job.submission.team},
                           {"tasks", job.tasks.size()},
                           {"handed_over", job.handed_over},
--- a/libraries/entry/operator_api.h
+++ b/libraries/entry/operator_api.h
@@ -27,6 +27,8 @@
   http_response ShowChange(std::string_view change_id);
   http_response ShowAudit(const http_request& request);
   http_response ShowStatus();
+  /// @return the version that the target confirmed; 0 for one older than the newest
+  uint64_t ConfirmedVersion(const target_status& target) const;
   http_response ShowTargets();
   http_response ShowJobs();
   http_response CancelJob(std::string_view id_text);
--- a/services/entryd/entryd_settings.cc
+++ b/services/entryd/entryd_settings.cc
@@ -23,8 +23,8 @@
     daemon.http_port = static_cast<uint16_t>(file.Unsigned("http_port", 0, {0, kMaxPort}));
     daemon.rpc_address = file.Text("rpc_address", daemon.rpc_address);
     daemon.rpc_port = static_cast<uint16_t>(file.Unsigned("rpc_port", 0, {0, kMaxPort}));
-    daemon.cluster_key = file.RequiredSecret(
-        "cluster_key", {.least_bytes = kMinKeyBytes, .allowed = "a text of 16 to 256 bytes"});
+    daemon.cluster_key =
+        file.RequiredSecret("cluster_key", {.least_bytes = kMinKeyBytes, .allowed = "a text"});
     daemon.bootstrap_token_digest = file.Text("bootstrap_token_sha256", "");
     settings.table_url = file.RequiredText("table_url");
     daemon.table_interval =
--- a/services/targetd/targetd_settings.cc
+++ b/services/targetd/targetd_settings.cc
@@ -26,8 +26,8 @@
         static_cast<uint16_t>(file.Unsigned("announced_rpc_port", 0, {0, kMaxPort}));
     settings.http_address = file.Text("http_address", settings.http_address);
     settings.http_port = static_cast<uint16_t>(file.Unsigned("http_port", 0, {0, kMaxPort}));
-    daemon.cluster_key = file.RequiredSecret(
-        "cluster_key", {.least_bytes = kMinKeyBytes, .allowed = "a text of 16 to 256 bytes"});
+    daemon.cluster_key =
+        file.RequiredSecret("cluster_key", {.least_bytes = kMinKeyBytes, .allowed = "a text"});
     settings.table_url = file.RequiredText("table_url");
     daemon.queue_limit =
         static_cast<uint32_t>(file.Unsigned("queue_limit", daemon.queue_limit, {0, 1024}));
--- a/tests/api/api_page_test.cc
+++ b/tests/api/api_page_test.cc
@@ -55,17 +55,21 @@
   return entry;
 }
 
+target_daemon_options DaemonOptions() {
+  target_daemon_options options;
+  options.target = "court-1";
+  options.failure_domain = "kandy-1";
+  options.cluster_key = kClusterKey;
+  return options;
+}
+
 // The processes that the page speaks of, in this one.
 struct page_system {
   memory_table table;
   std::unique_ptr<http_server> target = Serve(RunTask);
   std::unique_ptr<entry_daemon> entry_1 = MakeEntry("entry-1", table);
   std::unique_ptr<entry_daemon> entry_2 = MakeEntry("entry-2", table);
-  target_daemon daemon{{.target = "court-1",
-                        .failure_domain = "kandy-1",
-                        .cluster_key = kClusterKey,
-                        .freshness = {}},
-                       table};
+  target_daemon daemon{DaemonOptions(), table};
   std::unique_ptr<http_server> daemon_http;
 
   page_system() {
--- a/tests/stand_ins/platform/main.cc
+++ b/tests/stand_ins/platform/main.cc
@@ -4,7 +4,7 @@
 namespace wagtail {
 namespace {
 
-absl::StatusOr<std::unique_ptr<stand_in>> NewPlatform(object_reader reader) {
+absl::StatusOr<std::unique_ptr<stand_in>> NewPlatform(control_reader reader) {
   platform_settings settings = TRY(platform_settings::From(std::move(reader)));
   return std::make_unique<stand_in_platform>(std::move(settings));
 }
--- a/tests/stand_ins/platform/platform_settings.cc
+++ b/tests/stand_ins/platform/platform_settings.cc
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-void platform_behaviour::ReadFrom(object_reader& reader, instant now) {
+void platform_behaviour::ReadFrom(control_reader& reader, instant now) {
   reader.Read("outage", outage);
   reader.Read("lose_answers", lose_answers);
   reader.Read("slow_ms", slow_ms, 0, kLongestMs);
@@ -27,7 +27,7 @@
   }
 }
 
-absl::StatusOr<platform_settings> platform_settings::From(object_reader reader) {
+absl::StatusOr<platform_settings> platform_settings::From(control_reader reader) {
   platform_settings settings;
   reader.Read("address", settings.address);
   reader.Read("port", settings.port, 0, kHighestPort);
--- a/tests/stand_ins/platform/platform_settings.h
+++ b/tests/stand_ins/platform/platform_settings.h
@@ -5,7 +5,7 @@
 
 #include "absl/status/statusor.h"
 #include "base/time.h"
-#include "tests/stand_ins/support/object_reader.h"
+#include "tests/stand_ins/support/control_reader.h"
 
 namespace wagtail {
 
@@ -22,7 +22,7 @@
 
   /// Takes over the members that are present.
   /// @param now from which reject_for_ms counts
-  void ReadFrom(object_reader& reader, instant now);
+  void ReadFrom(control_reader& reader, instant now);
 };
 
 struct platform_settings {
@@ -31,7 +31,7 @@
   int64_t max_connections = 512;
   platform_behaviour behaviour;
 
-  static absl::StatusOr<platform_settings> From(object_reader reader);
+  static absl::StatusOr<platform_settings> From(control_reader reader);
 };
 
 }  // namespace wagtail
--- a/tests/stand_ins/platform/stand_in_platform.cc
+++ b/tests/stand_ins/platform/stand_in_platform.cc
@@ -69,7 +69,7 @@
 }
 
 http_response stand_in_platform::Control(const http_request& request) {
-  auto reader = object_reader::Parse(request.body);
+  auto reader = control_reader::Parse(request.body);
   if (!reader.ok()) {
     return ErrorAnswer(kBadRequest, MessageOf(reader.status()));
   }
--- a/tests/stand_ins/stand_in_platform_test.cc
+++ b/tests/stand_ins/stand_in_platform_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 platform_settings Settings(std::string_view text) {
-  auto reader = object_reader::Parse(text);
+  auto reader = control_reader::Parse(text);
   VERIFY(reader.ok());
   auto settings = platform_settings::From(*std::move(reader));
   VERIFY(settings.ok());
--- a/tests/stand_ins/stand_in_target_test.cc
+++ b/tests/stand_ins/stand_in_target_test.cc
@@ -13,8 +13,8 @@
 namespace {
 
 target_settings Settings(std::string_view extra) {
-  auto reader = object_reader::Parse(R"({"target": "t1", "service": "s", "base_ms": 0)" +
-                                     std::string(extra) + "}");
+  auto reader = control_reader::Parse(R"({"target": "t1", "service": "s", "base_ms": 0)" +
+                                      std::string(extra) + "}");
   VERIFY(reader.ok());
   auto settings = target_settings::From(*std::move(reader));
   VERIFY(settings.ok());
@@ -92,7 +92,7 @@
 }
 
 TEST(StandInTarget, RefusesUnknownSettingsAndControls) {
-  auto reader = object_reader::Parse(R"({"target": "t", "service": "s", "speed": 2} // comment)");
+  auto reader = control_reader::Parse(R"({"target": "t", "service": "s", "speed": 2} // comment)");
   CHECK(reader.ok());
   CHECK_FALSE(target_settings::From(*std::move(reader)).ok());
   stand_in_target target(Settings(""));
--- a/tests/stand_ins/support/object_reader.cc
+++ b/tests/stand_ins/support/control_reader.cc
@@ -1,30 +1,30 @@
-#include "tests/stand_ins/support/object_reader.h"
+#include "tests/stand_ins/support/control_reader.h"
 
 namespace wagtail {
 
-absl::StatusOr<object_reader> object_reader::Parse(std::string_view text) {
+absl::StatusOr<control_reader> control_reader::Parse(std::string_view text) {
   auto object = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false,
                                       /*ignore_comments=*/true);
   if (!object.is_object()) {
     return MakeError(stand_in_error::kBadSettings, "not a JSON object");
   }
-  return object_reader(std::move(object));
+  return control_reader(std::move(object));
 }
 
-const nlohmann::json* object_reader::Find(const char* key) {
+const nlohmann::json* control_reader::Find(const char* key) {
   known_.emplace(key);
   auto member = object_.find(key);
   return member == object_.end() ? nullptr : &*member;
 }
 
-void object_reader::Complain(const char* key, std::string_view allowed) {
+void control_reader::Complain(const char* key, std::string_view allowed) {
   if (fault_.empty()) {
     fault_ = std::string(key) + " must be " + std::string(allowed) + ", not " +
              object_.at(key).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
   }
 }
 
-void object_reader::Read(const char* key, std::string& field) {
+void control_reader::Read(const char* key, std::string& field) {
   const nlohmann::json* member = Find(key);
   if (member == nullptr) {
     return;
@@ -36,7 +36,7 @@
   field = member->get<std::string>();
 }
 
-void object_reader::Read(const char* key, bool& field) {
+void control_reader::Read(const char* key, bool& field) {
   const nlohmann::json* member = Find(key);
   if (member == nullptr) {
     return;
@@ -48,7 +48,7 @@
   field = member->get<bool>();
 }
 
-void object_reader::Read(const char* key, int64_t& field, int64_t lowest, int64_t highest) {
+void control_reader::Read(const char* key, int64_t& field, int64_t lowest, int64_t highest) {
   const nlohmann::json* member = Find(key);
   if (member == nullptr) {
     return;
@@ -62,7 +62,7 @@
   field = member->get<int64_t>();
 }
 
-void object_reader::Read(const char* key, double& field, double lowest, double highest) {
+void control_reader::Read(const char* key, double& field, double lowest, double highest) {
   const nlohmann::json* member = Find(key);
   if (member == nullptr) {
     return;
@@ -75,7 +75,7 @@
   field = member->get<double>();
 }
 
-absl::Status object_reader::Finish() const {
+absl::Status control_reader::Finish() const {
   if (!fault_.empty()) {
     return MakeError(stand_in_error::kBadSettings, fault_);
   }
--- a/tests/stand_ins/support/object_reader.h
+++ b/tests/stand_ins/support/control_reader.h
@@ -23,10 +23,10 @@
 
 /// Reads one JSON object with comments into typed fields. Absent members leave their field as it
 /// is; the first member that is unknown, of another type or out of range is reported by Finish.
-class object_reader {
+class control_reader {
  public:
   /// @param text a JSON object, with comments allowed
-  static absl::StatusOr<object_reader> Parse(std::string_view text);
+  static absl::StatusOr<control_reader> Parse(std::string_view text);
 
   void Read(const char* key, std::string& field);
   void Read(const char* key, bool& field);
@@ -38,7 +38,7 @@
   absl::Status Finish() const;
 
  private:
-  explicit object_reader(nlohmann::json object) : object_(std::move(object)) {}
+  explicit control_reader(nlohmann::json object) : object_(std::move(object)) {}
   const nlohmann::json* Find(const char* key);
   void Complain(const char* key, std::string_view allowed);
 
--- a/tests/stand_ins/support/stand_in_program.cc
+++ b/tests/stand_ins/support/stand_in_program.cc
@@ -16,14 +16,14 @@
 constexpr int kFailed = 1;
 constexpr int kUsage = 2;
 
-absl::StatusOr<object_reader> LoadSettings(const std::string& file) {
+absl::StatusOr<control_reader> LoadSettings(const std::string& file) {
   std::ifstream stream(file);
   std::ostringstream text;
   text << stream.rdbuf();
   if (!stream) {
     return MakeError(stand_in_error::kBadSettings, "cannot read " + file);
   }
-  return object_reader::Parse(text.str());
+  return control_reader::Parse(text.str());
 }
 
 sigset_t StopSignals() {
@@ -39,7 +39,7 @@
   sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
-  object_reader settings = TRY(LoadSettings(settings_file));
+  control_reader settings = TRY(LoadSettings(settings_file));
   std::unique_ptr<stand_in> program = TRY(factory(std::move(settings)));
   auto server =
       TRY(http_server::Start(program->server_options(), [&program](const http_request& request) {
--- a/tests/stand_ins/support/stand_in_program.h
+++ b/tests/stand_ins/support/stand_in_program.h
@@ -7,7 +7,7 @@
 #include "absl/status/statusor.h"
 #include "http/http_message.h"
 #include "http/http_server.h"
-#include "tests/stand_ins/support/object_reader.h"
+#include "tests/stand_ins/support/control_reader.h"
 
 /// @file
 /// What every stand-in program shares: command line, settings file, HTTP server, graceful end.
@@ -30,7 +30,7 @@
 
 /// Builds a stand-in from its settings.
 using stand_in_factory =
-    std::function<absl::StatusOr<std::unique_ptr<stand_in>>(object_reader settings)>;
+    std::function<absl::StatusOr<std::unique_ptr<stand_in>>(control_reader settings)>;
 
 /// Runs a stand-in until SIGTERM or SIGINT. Prints `listening PORT` once it serves.
 /// @return the exit code: 0 done, 1 failed, 2 usage
--- a/tests/stand_ins/target/main.cc
+++ b/tests/stand_ins/target/main.cc
@@ -4,7 +4,7 @@
 namespace wagtail {
 namespace {
 
-absl::StatusOr<std::unique_ptr<stand_in>> NewTarget(object_reader reader) {
+absl::StatusOr<std::unique_ptr<stand_in>> NewTarget(control_reader reader) {
   target_settings settings = TRY(target_settings::From(std::move(reader)));
   return std::make_unique<stand_in_target>(std::move(settings));
 }
--- a/tests/stand_ins/target/stand_in_target.cc
+++ b/tests/stand_ins/target/stand_in_target.cc
@@ -60,7 +60,7 @@
 }
 
 http_response stand_in_target::Control(const http_request& request) {
-  auto reader = object_reader::Parse(request.body);
+  auto reader = control_reader::Parse(request.body);
   if (!reader.ok()) {
     return ErrorAnswer(kBadRequest, MessageOf(reader.status()));
   }
--- a/tests/stand_ins/target/target_settings.cc
+++ b/tests/stand_ins/target/target_settings.cc
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-void target_behaviour::ReadFrom(object_reader& reader) {
+void target_behaviour::ReadFrom(control_reader& reader) {
   reader.Read("base_ms", base_ms, 0, kLongestMs);
   reader.Read("slowdown", slowdown, 0, kMostSlowdown);
   reader.Read("jitter", jitter, 0, 1);
@@ -24,7 +24,7 @@
   reader.Read("stall", stall);
 }
 
-absl::StatusOr<target_settings> target_settings::From(object_reader reader) {
+absl::StatusOr<target_settings> target_settings::From(control_reader reader) {
   target_settings settings;
   reader.Read("target", settings.target);
   reader.Read("service", settings.service);
--- a/tests/stand_ins/target/target_settings.h
+++ b/tests/stand_ins/target/target_settings.h
@@ -5,7 +5,7 @@
 
 #include "absl/status/statusor.h"
 #include "base/time.h"
-#include "tests/stand_ins/support/object_reader.h"
+#include "tests/stand_ins/support/control_reader.h"
 
 namespace wagtail {
 
@@ -19,7 +19,7 @@
   bool stall = false;        ///< start tasks and don't answer while this holds
 
   /// Takes over the members that are present.
-  void ReadFrom(object_reader& reader);
+  void ReadFrom(control_reader& reader);
 };
 
 struct target_settings {
@@ -36,7 +36,7 @@
   int64_t announce_every_ms = 2000;  ///< repeats an accepted announcement; 0 announces once
   target_behaviour behaviour;
 
-  static absl::StatusOr<target_settings> From(object_reader reader);
+  static absl::StatusOr<target_settings> From(control_reader reader);
 };
 
 }  // namespace wagtail
