--- a/tests/wagtail_load/report_test.cc
+++ b/tests/wagtail_load/report_test.cc
@@ -81,6 +81,9 @@
   DOUBLES_EQUAL(8, report.window->offered_work_s, 1e-9);
   DOUBLES_EQUAL(6, report.window->completed_work_s, 1e-9);
   DOUBLES_EQUAL(8, *report.window->possible_work_s, 1e-9);
+  // The jobs of seconds 3, 4 and 5; the one of second 2 failed.
+  LONGS_EQUAL(3, report.window->response_over_ideal.count);
+  DOUBLES_EQUAL(901.0 / 501, report.window->response_over_ideal.mean, 1e-9);
 }
 
 TEST(Report, SurvivesTheWayThroughJson) {
--- a/utilities/wagtail_load/comparison.cc
+++ b/utilities/wagtail_load/comparison.cc
@@ -83,6 +83,8 @@
     figures.push_back({.name = "work completed in the window of the changes, s",
                        .first = first.window->completed_work_s,
                        .second = second.window->completed_work_s});
+    AddDistribution(figures, "response / ideal in the window of the changes",
+                    first.window->response_over_ideal, second.window->response_over_ideal);
   }
   for (const counter_growth& counter : first.counters) {
     auto other = std::ranges::find(second.counters, counter.name, &counter_growth::name);
--- a/utilities/wagtail_load/markdown_report.cc
+++ b/utilities/wagtail_load/markdown_report.cc
@@ -79,7 +79,10 @@
                   DistributionRow("time to a failure, ms", report.failure_ms, 1),
                   DistributionRow("send delay of the tool, ms", report.send_delay_ms, 1));
   if (report.window.has_value()) {
-    absl::StrAppend(&out, "\n", WindowText(*report.window));
+    absl::StrAppend(&out,
+                    DistributionRow("response / ideal, arrived in the window of the changes",
+                                    report.window->response_over_ideal, 3),
+                    "\n", WindowText(*report.window));
   }
   out += CountersTable(report);
   for (const change_record& change : report.changes) {
--- a/utilities/wagtail_load/run_report.h
+++ b/utilities/wagtail_load/run_report.h
@@ -89,6 +89,7 @@
   /// What the capacity left in the window could have done of the work at hand, no job ending before
   /// its ideal response time; absent when the scenario names no capacities.
   std::optional<double> possible_work_s = {};
+  distribution response_over_ideal = {};  ///< of complete jobs that arrived in the window
 };
 
 struct run_report {
--- a/utilities/wagtail_load/run_report_json.cc
+++ b/utilities/wagtail_load/run_report_json.cc
@@ -33,7 +33,8 @@
   out = {{"from_s", window.from_s},
          {"to_s", window.to_s},
          {"offered_work_s", window.offered_work_s},
-         {"completed_work_s", window.completed_work_s}};
+         {"completed_work_s", window.completed_work_s},
+         {"response_over_ideal", window.response_over_ideal}};
   if (window.possible_work_s.has_value()) {
     out["possible_work_s"] = *window.possible_work_s;
   }
@@ -44,6 +45,7 @@
   in.at("to_s").get_to(window.to_s);
   in.at("offered_work_s").get_to(window.offered_work_s);
   in.at("completed_work_s").get_to(window.completed_work_s);
+  in.at("response_over_ideal").get_to(window.response_over_ideal);
   if (in.contains("possible_work_s")) {
     window.possible_work_s = in.at("possible_work_s").get<double>();
   }
--- a/utilities/wagtail_load/statistics.cc
+++ b/utilities/wagtail_load/statistics.cc
@@ -36,6 +36,53 @@
   return record.outcome == submission_outcome::kComplete;
 }
 
+/// Work per second that the domains which have not left can do, at the start of `second`.
+double CapacityAt(const load_scenario& plan, size_t second) {
+  std::set<std::string> gone;
+  for (const operator_action& action : plan.actions) {
+    if (SecondOf(action.at) > second) {
+      break;
+    }
+    if (action.kind == operator_change::kLeaveDomain) {
+      gone.insert(action.subject);
+    } else {
+      gone.erase(action.subject);
+    }
+  }
+  return std::accumulate(plan.domains.begin(), plan.domains.end(), 0.0,
+                         [&](double sum, const domain_capacity& domain) {
+                           return sum + (gone.contains(domain.name) ? 0 : domain.work_per_second);
+                         });
+}
+
+std::optional<change_window> WindowOf(const load_scenario& plan,
+                                      std::span<const second_figures> seconds) {
+  if (plan.actions.empty()) {
+    return std::nullopt;
+  }
+  size_t from = SecondOf(plan.actions.front().at);
+  size_t to = std::min(seconds.size(),
+                       SecondOf(std::min(plan.length, plan.actions.back().at + kWindowTail)));
+  change_window window{.from_s = static_cast<double>(from), .to_s = static_cast<double>(to)};
+  double waiting = 0;
+  double possible = 0;
+  for (size_t second = 0; second < to; ++second) {
+    const second_figures& figures = seconds[second];
+    waiting += figures.earliest_work_s;
+    double done = std::min(waiting, CapacityAt(plan, second));
+    waiting -= done;
+    if (second >= from) {
+      window.offered_work_s += figures.arrived_work_s;
+      window.completed_work_s += figures.completed_work_s;
+      possible += done;
+    }
+  }
+  if (!plan.domains.empty()) {
+    window.possible_work_s = possible;
+  }
+  return window;
+}
+
 /// Gathers the figures of a run job by job.
 class summary {
  public:
@@ -59,7 +106,9 @@
     }
     double ideal = ToFractionalMilliseconds(IdealResponse(job, plan_.ideal));
     responses_.push_back(response);
-    ratios_.push_back(response / std::max(ideal, 0.001));
+    double ratio = response / std::max(ideal, 0.001);
+    ratios_.push_back(ratio);
+    ratios_by_second_[SecondOf(job.at)].push_back(ratio);
     responses_by_second_[SecondOf(job.at)].push_back(response);
     second_figures& answer = At(SecondOf(record.finished));
     ++answer.completed_jobs;
@@ -69,6 +118,10 @@
 
   run_report Finish() {
     run_report report;
+    report.window = WindowOf(plan_, seconds_);
+    if (report.window.has_value()) {
+      report.window->response_over_ideal = Describe(RatiosIn(*report.window));
+    }
     report.totals = totals_;
     for (submission_outcome outcome : kSubmissionOutcomes) {
       report.outcomes.push_back(
@@ -107,6 +160,17 @@
     ++reasons_[known ? record.reason : "others"];
   }
 
+  std::vector<double> RatiosIn(const change_window& window) const {
+    std::vector<double> ratios;
+    for (const auto& [second, in_second] : ratios_by_second_) {
+      auto start = static_cast<double>(second);
+      if (start >= window.from_s && start < window.to_s) {
+        ratios.insert(ratios.end(), in_second.begin(), in_second.end());
+      }
+    }
+    return ratios;
+  }
+
   second_figures& At(size_t second) {
     while (seconds_.size() <= second) {
       seconds_.push_back({.second = static_cast<uint32_t>(seconds_.size())});
@@ -123,56 +187,10 @@
   std::vector<double> failures_;
   std::vector<double> send_delays_;
   std::map<size_t, std::vector<double>> responses_by_second_;
+  std::map<size_t, std::vector<double>> ratios_by_second_;
   std::vector<second_figures> seconds_;
 };
 
-/// Work per second that the domains which have not left can do, at the start of `second`.
-double CapacityAt(const load_scenario& plan, size_t second) {
-  std::set<std::string> gone;
-  for (const operator_action& action : plan.actions) {
-    if (SecondOf(action.at) > second) {
-      break;
-    }
-    if (action.kind == operator_change::kLeaveDomain) {
-      gone.insert(action.subject);
-    } else {
-      gone.erase(action.subject);
-    }
-  }
-  return std::accumulate(plan.domains.begin(), plan.domains.end(), 0.0,
-                         [&](double sum, const domain_capacity& domain) {
-                           return sum + (gone.contains(domain.name) ? 0 : domain.work_per_second);
-                         });
-}
-
-std::optional<change_window> WindowOf(const load_scenario& plan,
-                                      std::span<const second_figures> seconds) {
-  if (plan.actions.empty()) {
-    return std::nullopt;
-  }
-  size_t from = SecondOf(plan.actions.front().at);
-  size_t to = std::min(seconds.size(),
-                       SecondOf(std::min(plan.length, plan.actions.back().at + kWindowTail)));
-  change_window window{.from_s = static_cast<double>(from), .to_s = static_cast<double>(to)};
-  double waiting = 0;
-  double possible = 0;
-  for (size_t second = 0; second < to; ++second) {
-    const second_figures& figures = seconds[second];
-    waiting += figures.earliest_work_s;
-    double done = std::min(waiting, CapacityAt(plan, second));
-    waiting -= done;
-    if (second >= from) {
-      window.offered_work_s += figures.arrived_work_s;
-      window.completed_work_s += figures.completed_work_s;
-      possible += done;
-    }
-  }
-  if (!plan.domains.empty()) {
-    window.possible_work_s = possible;
-  }
-  return window;
-}
-
 }  // namespace
 
 distribution Describe(std::vector<double> values) {
@@ -197,7 +215,6 @@
     gathered.Add(jobs[i], records[i]);
   }
   run_report report = gathered.Finish();
-  report.window = WindowOf(plan, report.seconds);
   report.changes = std::move(changes);
   return report;
 }
