--- a/libraries/placement/target_state.h
+++ b/libraries/placement/target_state.h
@@ -49,6 +49,10 @@
   /// @param mean_run mean run time on the target in microseconds
   /// @return expected number of tasks of other entries on the target
   double OthersAt(instant now, double mean_run) const { return others_.At(now, mean_run); }
+  /// @return standard deviation of that number
+  double OthersDeviationAt(instant now, double mean_run) const {
+    return others_.DeviationAt(now, mean_run);
+  }
   /// @return how long outstanding tasks have brought no news, zero without outstanding tasks
   duration SilenceAt(instant now) const;
   /// @return whether the run time should be measured anew by one task
@@ -56,6 +60,7 @@
 
  private:
   void Conclude(instant now);
+  void OnProbed(duration run_time);
 
   target_profile profile_;
   learning_options learning_;
@@ -67,6 +72,7 @@
   instant last_news_;
   instant last_result_;
   duration probe_interval_;
+  bool is_probing_ = false;
   run_time_estimate run_time_;
   other_load_estimate others_;
   slow_start slow_start_;
