Send what one turn of the loop starts at a target in one message

Cause: each result led to one start message of its own, and each of a call's messages to a write of its own, so one task alone cost an entry three writes and six reads.

--- a/libraries/entry/target_link.cc
+++ b/libraries/entry/target_link.cc
@@ -171,6 +171,7 @@
   }
   ++generation_;  // callbacks of the broken connection are void from here
   bool was_up = std::exchange(is_up_, false);
+  starting_.clear();  // never sent; settled on the next connection like all that was
   // This may run inside a callback of the very connection that goes.
   loop_.Detach(kj::evalLater([old = std::move(connection_)] {}));
   if (was_up) {
@@ -201,6 +202,22 @@
   if (!is_up_) {
     return;  // handed over on a lost link: settled on the next one
   }
+  bool is_first = starting_.empty();
+  starting_.insert(starting_.end(), tasks.begin(), tasks.end());
+  if (is_first) {
+    loop_.Detach(kj::evalLast([this, alive = alive_] {
+      if (*alive) {
+        SendStarts();
+      }
+    }));
+  }
+}
+
+void target_link::SendStarts() {
+  std::vector<start_request> tasks = std::exchange(starting_, {});
+  if (tasks.empty() || !is_up_) {
+    return;
+  }
   auto request = KJ_ASSERT_NONNULL(connection_->session).startRequest();
   request.setIncarnation(options_.target.number);
   request.setOwnerUptimeMs(hooks_.uptime_ms());
@@ -230,6 +247,7 @@
   if (!is_up_) {
     return;
   }
+  SendStarts();  // what is taken back must have been handed over before
   auto request = KJ_ASSERT_NONNULL(connection_->session).settleRequest();
   request.setWithdrawQueued(true);
   auto list = request.initTasks(static_cast<unsigned>(tasks.size()));
@@ -248,6 +266,7 @@
 
 kj::Promise<fence_report> target_link::Fence(const job_key& job, uint64_t minted_uptime_ms) {
   Require(is_up_, "link is down");
+  SendStarts();
   auto request = KJ_ASSERT_NONNULL(connection_->session).fenceRequest();
   auto jobs = request.initJobs(1);
   Write(job, jobs[0].initJob());
--- a/libraries/entry/target_link.h
+++ b/libraries/entry/target_link.h
@@ -74,7 +74,8 @@
   const target_report& last_report() const { return last_report_; }
   instant last_heartbeat() const { return last_heartbeat_; }
 
-  /// Hands tasks over; refusals and results come back through the hooks.
+  /// Hands tasks over, with others of the same turn of the loop; refusals and results come back
+  /// through the hooks.
   void Start(const std::vector<start_request>& tasks);
   /// Takes tasks back if they have not started.
   void Withdraw(const std::vector<start_request>& tasks);
@@ -90,6 +91,7 @@
   kj::Promise<void> SettleAll();
   void OnBroken(uint64_t generation);
   void WatchSilence();
+  void SendStarts();
   void OnRecords(capnp::List<wire::TaskRecord>::Reader records);
 
   event_loop& loop_;
@@ -100,6 +102,7 @@
   kj::Canceler canceler_;  ///< ends an attempt to connect together with this object
   uint64_t generation_ = 0;
   bool is_up_ = false;
+  std::vector<start_request> starting_;  ///< leave at the end of the turn
   target_report last_report_;
   instant last_heartbeat_{};
 };
--- a/libraries/target/entry_sessions.cc
+++ b/libraries/target/entry_sessions.cc
@@ -48,7 +48,7 @@
     return;
   }
   flush_scheduled_ = true;
-  loop_.Detach(kj::evalLater([this] { Flush(); }));
+  loop_.Detach(kj::evalLast([this] { Flush(); }));
 }
 
 void entry_sessions::Flush() {
