--- a/tests/rpc/batching_stream_test.cc
+++ b/tests/rpc/batching_stream_test.cc
@@ -1,5 +1,7 @@
 #include "rpc/batching_stream.h"
 
+#include <kj/debug.h>
+
 #include <algorithm>
 #include <cstdint>
 #include <cstring>
@@ -56,13 +58,21 @@
   connection_script& script_;
 };
 
-}  // namespace
-
-TEST_GROUP(BatchingStream) {
+// Destroyed with exceptions allowed, as the library's objects ask for.
+struct fixture {
   kj::EventLoop loop;
   kj::WaitScope scope{loop};
   connection_script script;
   kj::Own<kj::AsyncIoStream> stream = Batching(kj::heap<fake_stream>(script));
+};
+
+}  // namespace
+
+TEST_GROUP(BatchingStream) {
+  std::unique_ptr<fixture> parts = std::make_unique<fixture>();
+  kj::WaitScope& scope = parts->scope;
+  connection_script& script = parts->script;
+  kj::Own<kj::AsyncIoStream>& stream = parts->stream;
 
   std::string ReadText(size_t least, size_t most) {
     std::string text(most, '\0');
