Let entries hand rows only to voters that do not read them

Cause: each entry that read a change sent the whole text to every voter that had not confirmed it yet; nearly all of them read it themselves within a period. Rows now go along a period later.

--- a/libraries/freshness/entry_freshness.cc
+++ b/libraries/freshness/entry_freshness.cc
@@ -86,6 +86,7 @@
 }
 
 void entry_freshness::OnNewRows(instant now) {
+  rows_since_ = now;
   voters_ = voter_set();
   voters_status_ = absl::OkStatus();
   if (!rows_.voters.text.empty()) {
@@ -110,7 +111,9 @@
       continue;
     }
     peer_question question{rows_.version(), std::nullopt};
-    if (!tracker_.HasConfirmed(member.incarnation, rows_.version())) {
+    // Most voters read the rows for themselves within a period.
+    bool had_time = now - rows_since_ >= settings_.period;
+    if (had_time && !tracker_.HasConfirmed(member.incarnation, rows_.version())) {
       question.rows = rows_;
     }
     questions.push_back({member, poll, now, std::move(question)});
--- a/libraries/freshness/entry_freshness.h
+++ b/libraries/freshness/entry_freshness.h
@@ -24,7 +24,7 @@
 /// From one entry to another.
 struct peer_question {
   uint64_t have = 0;                 ///< version of the asker; the answer brings newer rows
-  std::optional<guarded_rows> rows;  ///< of the asker, if the other is not known to hold them
+  std::optional<guarded_rows> rows;  ///< of the asker, if the other seems unable to read them
 };
 
 /// To another entry or to a target's daemon.
@@ -91,6 +91,7 @@
   entry_incarnation self_;
   freshness_settings settings_;
   guarded_rows rows_;
+  instant rows_since_;  // when rows_ last changed
   voter_set voters_;
   absl::Status voters_status_;
   freshness_evidence evidence_;
