--- a/utilities/wagtailctl/entry_client.cc
+++ b/utilities/wagtailctl/entry_client.cc
@@ -48,23 +48,26 @@
 }
 
 std::string Described(const http_response& response, const error_answer& answer) {
-  std::string text = absl::StrCat("answer ", response.status);
-  if (!answer.error.empty()) {
-    absl::StrAppend(&text, " ", answer.error);
-  }
+  const std::string code =
+      absl::StrCat("answer ", response.status, answer.error.empty() ? "" : " ", answer.error);
+  return answer.message.empty() ? code : absl::StrCat(answer.message, " (", code, ")");
+}
+
+/// The message comes from the check that refused the change, so it goes before the fields, which an
+/// entry fills in from what it knew at the time.
+std::string ConflictOf(const error_answer& answer) {
   if (!answer.message.empty()) {
-    absl::StrAppend(&text, ": ", answer.message);
+    return answer.message;
   }
-  return text;
+  return absl::StrCat("operator ", answer.other_author, " made version ", answer.version,
+                      " with change ", answer.other_change_id);
 }
 
 /// Turns an answer other than 200 into an error.
 absl::Status ErrorOfAnswer(const http_response& response) {
   const error_answer answer = ReadErrorAnswer(response.body);
-  if (response.status == kConflictStatus && !answer.other_author.empty()) {
-    return MakeError(entry_error::kConflict,
-                     absl::StrCat("operator ", answer.other_author, " made version ",
-                                  answer.version, " first, with change ", answer.other_change_id));
+  if (response.status == kConflictStatus) {
+    return MakeError(entry_error::kConflict, "another change came first: " + ConflictOf(answer));
   }
   if (response.status == kUnavailableStatus && answer.error == "not_applied") {
     return MakeError(entry_error::kNotApplied, "not applied: the entry can't write to the table; " +
