Let one decision object keep an entry's freshness; register under conditions

Cause: review of the wiring found: the voters' revision counted although the configuration's text could not be read; registration wrote without a condition, so a late stop could overwrite its successor; an entry answered polls after writing that it had stopped; stopped lives never counted. Change: freshness_controller carries entry_freshness over RPC and decides nothing itself; no evidence is told while the newest row can't be read; registration and stop are conditional; the RPC side ends before the stop is written. Ruled out: keeping both; the logic stood twice.

--- a/libraries/entry/entry_daemon.cc
+++ b/libraries/entry/entry_daemon.cc
@@ -14,6 +14,7 @@
 #include "entry/answer_json.h"
 #include "entry/entry_context.h"
 #include "entry/entry_gate.h"
+#include "entry/entry_registration.h"
 #include "entry/job_api.h"
 #include "entry/key_binding.h"
 #include "entry/operator_api.h"
@@ -30,6 +31,8 @@
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 constexpr duration kSweepInterval = std::chrono::hours(1);
+// For answers to requests that other entries forwarded to leave the process.
+constexpr duration kFarewell = std::chrono::milliseconds(50);
 constexpr duration kStopPoll = std::chrono::milliseconds(10);
 
 // The listening side of the RPC system, made and ended on the loop's thread.
@@ -195,16 +198,12 @@
     LogFact(log_level::kWarning, "table_read_failed");
     return;
   }
-  auto row_of = [&round](std::string_view key) -> std::optional<table_row> {
-    auto found = std::ranges::find(round.rows, key, &table_row::key);
-    return found == round.rows.end() ? std::nullopt : std::optional<table_row>(*found);
-  };
   table_changes changes{.revision = round.revision, .rows = round.rows};
   if (!entries.OnChanges(changes).empty()) {
     ApplyQuotas();
   }
   OnTargetEvents(changes);
-  freshness->OnRead(round.started, row_of(kConfigurationKey), row_of(kVotersKey));
+  freshness->OnRead(round.started, changes);
   registry_revision.store(targets.revision());
 }
 
@@ -264,21 +263,18 @@
 }
 
 void entry_daemon::parts::WriteRegistration(entry_state state) {
-  entry_row row{.name = options.name,
-                .incarnation = self,
-                .http_address = absl::StrCat(options.http_address, ":", http->port()),
-                .rpc_address = absl::StrCat(options.rpc_address, ":", rpc_port),
-                .failure_domain = options.failure_domain,
-                .state = state};
-  table_transaction write;
-  write.writes.push_back({.key = EntryKey(options.name), .value = Serialise(row)});
-  absl::StatusOr<uint64_t> written = platform_table.Commit(write);
-  bool committed = written.ok();
-  if (!committed) {
-    LogFact(log_level::kWarning, "registration_failed", {{"error", MessageOf(written.status())}});
+  entry_row wanted{.name = options.name,
+                   .incarnation = self,
+                   .http_address = absl::StrCat(options.http_address, ":", http->port()),
+                   .rpc_address = absl::StrCat(options.rpc_address, ":", rpc_port),
+                   .failure_domain = options.failure_domain,
+                   .state = state};
+  absl::Status written = RegisterEntry(platform_table, wanted);
+  if (!written.ok()) {
+    LogFact(log_level::kWarning, "registration_failed", {{"error", MessageOf(written)}});
   }
-  loop.Post([this, committed] {
-    registered = registered || committed;
+  loop.Post([this, is_registered = written.ok()] {
+    registered = registered || is_registered;
     registration_under_way = false;
   });
 }
@@ -414,6 +410,11 @@
     std::this_thread::sleep_for(kStopPoll);
   }
   all.loop.Run([&all] { all.dispatch->EndAll("stopping"); });
+  std::this_thread::sleep_for(kFarewell);
+  all.loop.Run([&all] {
+    // An entry that has written that it stopped must answer no poll from then on.
+    all.server.reset();
+  });
   if (all.http != nullptr) {
     // Best effort: an entry that could not say goodbye stays a voter until it is replaced.
     all.WriteRegistration(entry_state::kStopped);
@@ -423,7 +424,6 @@
   }
   all.watcher.reset();
   all.loop.Run([&all] {
-    all.server.reset();
     all.recoveries.reset();
     all.freshness.reset();
     all.peers.reset();
--- a/libraries/entry/entry_gate.cc
+++ b/libraries/entry/entry_gate.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "entry/answer_json.h"
+#include "rpc/freshness_codec.h"
 #include "rpc/handshake.h"
 #include "rpc/require.h"
 #include "rpc/wire_codec.h"
@@ -76,8 +77,8 @@
   }
 
   kj::Promise<void> evidence(EvidenceContext context) override {  // NOLINT: generated name
-    context_.freshness.Report(context.getParams().getKnownVersion(),
-                              context.getResults().initEvidence());
+    peer_answer answer = context_.freshness.OnPeerQuestion(Read(context.getParams().getQuestion()));
+    Write(answer, context.getResults().initEvidence());
     return kj::READY_NOW;
   }
 
--- a/libraries/entry/job_service.cc
+++ b/libraries/entry/job_service.cc
@@ -116,7 +116,7 @@
   auto answered = context_.peers.Submit(id.owner_address, id.key.owner, submission->id_text,
                                         id.team, submission->raw_body);
   auto settled = answered.then(
-      [respond](peer_answer&& answer) {
+      [respond](forwarded_answer&& answer) {
         http_response response = RespondJson(std::move(answer.body));
         response.status = answer.status;
         respond(std::move(response));
@@ -168,7 +168,7 @@
   }
   auto answered = context_.peers.Cancel(id.owner_address, id.key.owner, id_text, id.team);
   auto settled = answered.then(
-      [respond](peer_answer&& answer) {
+      [respond](forwarded_answer&& answer) {
         http_response response = RespondJson(std::move(answer.body));
         response.status = answer.status;
         respond(std::move(response));
--- a/libraries/entry/peer_links.cc
+++ b/libraries/entry/peer_links.cc
@@ -102,9 +102,9 @@
   return KJ_ASSERT_NONNULL(ConnectionTo(address).peer);
 }
 
-kj::Promise<peer_answer> peer_links::Submit(const std::string& address, entry_incarnation owner,
-                                            const std::string& job_id, const std::string& team,
-                                            const std::string& body) {
+kj::Promise<forwarded_answer> peer_links::Submit(const std::string& address,
+                                                 entry_incarnation owner, const std::string& job_id,
+                                                 const std::string& team, const std::string& body) {
   connection& to = ConnectionTo(address);
   return to.canceler.wrap(KJ_ASSERT_NONNULL(to.peer)
                               .whenResolved()
@@ -117,13 +117,14 @@
                                 return request.send();
                               })
                               .then([](auto&& response) {
-                                return peer_answer{.status = response.getStatus(),
-                                                   .body = ToText(response.getAnswer())};
+                                return forwarded_answer{.status = response.getStatus(),
+                                                        .body = ToText(response.getAnswer())};
                               }));
 }
 
-kj::Promise<peer_answer> peer_links::Cancel(const std::string& address, entry_incarnation owner,
-                                            const std::string& job_id, const std::string& team) {
+kj::Promise<forwarded_answer> peer_links::Cancel(const std::string& address,
+                                                 entry_incarnation owner, const std::string& job_id,
+                                                 const std::string& team) {
   connection& to = ConnectionTo(address);
   return to.canceler.wrap(KJ_ASSERT_NONNULL(to.peer)
                               .whenResolved()
@@ -135,8 +136,8 @@
                                 return request.send();
                               })
                               .then([](auto&& response) {
-                                return peer_answer{.status = response.getStatus(),
-                                                   .body = ToText(response.getAnswer())};
+                                return forwarded_answer{.status = response.getStatus(),
+                                                        .body = ToText(response.getAnswer())};
                               }));
 }
 
--- a/libraries/entry/peer_links.h
+++ b/libraries/entry/peer_links.h
@@ -21,7 +21,7 @@
 };
 
 /// What another entry answered to a forwarded request.
-struct peer_answer {
+struct forwarded_answer {
   uint16_t status = 0;  ///< HTTP status
   std::string body;
 };
@@ -36,11 +36,11 @@
   /// Submits a job to the entry that minted its id.
   /// @param owner the incarnation expected at `address`
   /// @return its answer; fails when that incarnation can't be reached or falls silent
-  kj::Promise<peer_answer> Submit(const std::string& address, entry_incarnation owner,
-                                  const std::string& job_id, const std::string& team,
-                                  const std::string& body);
-  kj::Promise<peer_answer> Cancel(const std::string& address, entry_incarnation owner,
-                                  const std::string& job_id, const std::string& team);
+  kj::Promise<forwarded_answer> Submit(const std::string& address, entry_incarnation owner,
+                                       const std::string& job_id, const std::string& team,
+                                       const std::string& body);
+  kj::Promise<forwarded_answer> Cancel(const std::string& address, entry_incarnation owner,
+                                       const std::string& job_id, const std::string& team);
   /// @return the other entry's interface, whichever incarnation answers there
   wire::EntryPeer::Client PeerAt(const std::string& address);
 
--- a/libraries/rpc/wire.capnp
+++ b/libraries/rpc/wire.capnp
@@ -112,6 +112,18 @@
   revision @1 :UInt64;   # 0: the row does not exist
 }
 
+# The rows of the configuration and of the voters, together.
+struct GuardedRows {
+  configuration @0 :SharedRow;
+  voters @1 :SharedRow;
+}
+
+struct EvidenceQuestion {
+  have @0 :UInt64;          # version of the asker
+  hasRows @1 :Bool;         # the asker's rows come along, for an entry that may not read them
+  rows @2 :GuardedRows;
+}
+
 # What an entry can show of the newest configuration.
 struct Evidence {
   incarnation @0 :UInt64;
@@ -120,14 +132,14 @@
   ageMs @3 :UInt64;          # of its evidence, of any kind
   hasOwnReadAge @4 :Bool;
   ownReadAgeMs @5 :UInt64;   # of its own last successful read of the table
-  configuration @6 :SharedRow;  # set if newer than what the asker knows
-  voters @7 :SharedRow;
+  hasRows @6 :Bool;          # newer than what the asker has
+  rows @7 :GuardedRows;
 }
 
 interface EntryPeer {
   # Submits a job to the entry that minted its id; waits for the final answer.
   submit @0 (jobId :Text, team :Text, body :Data) -> (status :UInt16, answer :Data);
   cancel @1 (jobId :Text, team :Text) -> (status :UInt16, answer :Data);
-  evidence @2 (knownVersion :UInt64) -> (evidence :Evidence);
+  evidence @2 (question :EvidenceQuestion) -> (evidence :Evidence);
   ping @3 () -> ();
 }
--- a/libraries/rpc/wire.capnp.h
+++ b/libraries/rpc/wire.capnp.h
@@ -54,6 +54,8 @@
 CAPNP_DECLARE_SCHEMA(8dee5e5d2749f21e);
 CAPNP_DECLARE_SCHEMA(f0f3715577a6d7e9);
 CAPNP_DECLARE_SCHEMA(b61852f6e12c7e28);
+CAPNP_DECLARE_SCHEMA(ef4d245f0e124232);
+CAPNP_DECLARE_SCHEMA(89c74c36b24dc436);
 CAPNP_DECLARE_SCHEMA(d2e8d27e39a7ccea);
 CAPNP_DECLARE_SCHEMA(ac820a7f2af85ce5);
 CAPNP_DECLARE_SCHEMA(dc4c4fa9e96ca27e);
@@ -624,6 +626,36 @@
   };
 };
 
+struct GuardedRows {
+  GuardedRows() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ef4d245f0e124232, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EvidenceQuestion {
+  EvidenceQuestion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(89c74c36b24dc436, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Evidence {
   Evidence() = delete;
 
@@ -632,7 +664,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2e8d27e39a7ccea, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d2e8d27e39a7ccea, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -732,7 +764,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be5fa3c02d25706d, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(be5fa3c02d25706d, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3802,6 +3834,191 @@
 };
 #endif  // !CAPNP_LITE
 
+class GuardedRows::Reader {
+public:
+  typedef GuardedRows Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasConfiguration() const;
+  inline  ::wagtail::wire::SharedRow::Reader getConfiguration() const;
+
+  inline bool hasVoters() const;
+  inline  ::wagtail::wire::SharedRow::Reader getVoters() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GuardedRows::Builder {
+public:
+  typedef GuardedRows Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasConfiguration();
+  inline  ::wagtail::wire::SharedRow::Builder getConfiguration();
+  inline void setConfiguration( ::wagtail::wire::SharedRow::Reader value);
+  inline  ::wagtail::wire::SharedRow::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::wagtail::wire::SharedRow>&& value);
+  inline ::capnp::Orphan< ::wagtail::wire::SharedRow> disownConfiguration();
+
+  inline bool hasVoters();
+  inline  ::wagtail::wire::SharedRow::Builder getVoters();
+  inline void setVoters( ::wagtail::wire::SharedRow::Reader value);
+  inline  ::wagtail::wire::SharedRow::Builder initVoters();
+  inline void adoptVoters(::capnp::Orphan< ::wagtail::wire::SharedRow>&& value);
+  inline ::capnp::Orphan< ::wagtail::wire::SharedRow> disownVoters();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GuardedRows::Pipeline {
+public:
+  typedef GuardedRows Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::wagtail::wire::SharedRow::Pipeline getConfiguration();
+  inline  ::wagtail::wire::SharedRow::Pipeline getVoters();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EvidenceQuestion::Reader {
+public:
+  typedef EvidenceQuestion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHave() const;
+
+  inline bool getHasRows() const;
+
+  inline bool hasRows() const;
+  inline  ::wagtail::wire::GuardedRows::Reader getRows() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EvidenceQuestion::Builder {
+public:
+  typedef EvidenceQuestion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHave();
+  inline void setHave( ::uint64_t value);
+
+  inline bool getHasRows();
+  inline void setHasRows(bool value);
+
+  inline bool hasRows();
+  inline  ::wagtail::wire::GuardedRows::Builder getRows();
+  inline void setRows( ::wagtail::wire::GuardedRows::Reader value);
+  inline  ::wagtail::wire::GuardedRows::Builder initRows();
+  inline void adoptRows(::capnp::Orphan< ::wagtail::wire::GuardedRows>&& value);
+  inline ::capnp::Orphan< ::wagtail::wire::GuardedRows> disownRows();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EvidenceQuestion::Pipeline {
+public:
+  typedef EvidenceQuestion Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::wagtail::wire::GuardedRows::Pipeline getRows();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Evidence::Reader {
 public:
   typedef Evidence Reads;
@@ -3831,11 +4048,10 @@
 
   inline  ::uint64_t getOwnReadAgeMs() const;
 
-  inline bool hasConfiguration() const;
-  inline  ::wagtail::wire::SharedRow::Reader getConfiguration() const;
+  inline bool getHasRows() const;
 
-  inline bool hasVoters() const;
-  inline  ::wagtail::wire::SharedRow::Reader getVoters() const;
+  inline bool hasRows() const;
+  inline  ::wagtail::wire::GuardedRows::Reader getRows() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3883,19 +4099,15 @@
   inline  ::uint64_t getOwnReadAgeMs();
   inline void setOwnReadAgeMs( ::uint64_t value);
 
-  inline bool hasConfiguration();
-  inline  ::wagtail::wire::SharedRow::Builder getConfiguration();
-  inline void setConfiguration( ::wagtail::wire::SharedRow::Reader value);
-  inline  ::wagtail::wire::SharedRow::Builder initConfiguration();
-  inline void adoptConfiguration(::capnp::Orphan< ::wagtail::wire::SharedRow>&& value);
-  inline ::capnp::Orphan< ::wagtail::wire::SharedRow> disownConfiguration();
+  inline bool getHasRows();
+  inline void setHasRows(bool value);
 
-  inline bool hasVoters();
-  inline  ::wagtail::wire::SharedRow::Builder getVoters();
-  inline void setVoters( ::wagtail::wire::SharedRow::Reader value);
-  inline  ::wagtail::wire::SharedRow::Builder initVoters();
-  inline void adoptVoters(::capnp::Orphan< ::wagtail::wire::SharedRow>&& value);
-  inline ::capnp::Orphan< ::wagtail::wire::SharedRow> disownVoters();
+  inline bool hasRows();
+  inline  ::wagtail::wire::GuardedRows::Builder getRows();
+  inline void setRows( ::wagtail::wire::GuardedRows::Reader value);
+  inline  ::wagtail::wire::GuardedRows::Builder initRows();
+  inline void adoptRows(::capnp::Orphan< ::wagtail::wire::GuardedRows>&& value);
+  inline ::capnp::Orphan< ::wagtail::wire::GuardedRows> disownRows();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3915,8 +4127,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::wagtail::wire::SharedRow::Pipeline getConfiguration();
-  inline  ::wagtail::wire::SharedRow::Pipeline getVoters();
+  inline  ::wagtail::wire::GuardedRows::Pipeline getRows();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4377,7 +4588,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getKnownVersion() const;
+  inline bool hasQuestion() const;
+  inline  ::wagtail::wire::EvidenceQuestion::Reader getQuestion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4407,8 +4619,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getKnownVersion();
-  inline void setKnownVersion( ::uint64_t value);
+  inline bool hasQuestion();
+  inline  ::wagtail::wire::EvidenceQuestion::Builder getQuestion();
+  inline void setQuestion( ::wagtail::wire::EvidenceQuestion::Reader value);
+  inline  ::wagtail::wire::EvidenceQuestion::Builder initQuestion();
+  inline void adoptQuestion(::capnp::Orphan< ::wagtail::wire::EvidenceQuestion>&& value);
+  inline ::capnp::Orphan< ::wagtail::wire::EvidenceQuestion> disownQuestion();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4428,6 +4644,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wagtail::wire::EvidenceQuestion::Pipeline getQuestion();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6555,6 +6772,151 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GuardedRows::Reader::hasConfiguration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GuardedRows::Builder::hasConfiguration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wagtail::wire::SharedRow::Reader GuardedRows::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wagtail::wire::SharedRow::Builder GuardedRows::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::wagtail::wire::SharedRow::Pipeline GuardedRows::Pipeline::getConfiguration() {
+  return  ::wagtail::wire::SharedRow::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void GuardedRows::Builder::setConfiguration( ::wagtail::wire::SharedRow::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wagtail::wire::SharedRow::Builder GuardedRows::Builder::initConfiguration() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GuardedRows::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::wagtail::wire::SharedRow>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wagtail::wire::SharedRow> GuardedRows::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GuardedRows::Reader::hasVoters() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GuardedRows::Builder::hasVoters() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wagtail::wire::SharedRow::Reader GuardedRows::Reader::getVoters() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::wagtail::wire::SharedRow::Builder GuardedRows::Builder::getVoters() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::wagtail::wire::SharedRow::Pipeline GuardedRows::Pipeline::getVoters() {
+  return  ::wagtail::wire::SharedRow::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void GuardedRows::Builder::setVoters( ::wagtail::wire::SharedRow::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::wagtail::wire::SharedRow::Builder GuardedRows::Builder::initVoters() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GuardedRows::Builder::adoptVoters(
+    ::capnp::Orphan< ::wagtail::wire::SharedRow>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wagtail::wire::SharedRow> GuardedRows::Builder::disownVoters() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t EvidenceQuestion::Reader::getHave() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EvidenceQuestion::Builder::getHave() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EvidenceQuestion::Builder::setHave( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EvidenceQuestion::Reader::getHasRows() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool EvidenceQuestion::Builder::getHasRows() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void EvidenceQuestion::Builder::setHasRows(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EvidenceQuestion::Reader::hasRows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EvidenceQuestion::Builder::hasRows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wagtail::wire::GuardedRows::Reader EvidenceQuestion::Reader::getRows() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wagtail::wire::GuardedRows::Builder EvidenceQuestion::Builder::getRows() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::wagtail::wire::GuardedRows::Pipeline EvidenceQuestion::Pipeline::getRows() {
+  return  ::wagtail::wire::GuardedRows::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EvidenceQuestion::Builder::setRows( ::wagtail::wire::GuardedRows::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wagtail::wire::GuardedRows::Builder EvidenceQuestion::Builder::initRows() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EvidenceQuestion::Builder::adoptRows(
+    ::capnp::Orphan< ::wagtail::wire::GuardedRows>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wagtail::wire::GuardedRows> EvidenceQuestion::Builder::disownRows() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Evidence::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6639,84 +7001,59 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Evidence::Reader::hasConfiguration() const {
+inline bool Evidence::Reader::getHasRows() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool Evidence::Builder::getHasRows() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void Evidence::Builder::setHasRows(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evidence::Reader::hasRows() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Evidence::Builder::hasConfiguration() {
+inline bool Evidence::Builder::hasRows() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::wagtail::wire::SharedRow::Reader Evidence::Reader::getConfiguration() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_reader.getPointerField(
+inline  ::wagtail::wire::GuardedRows::Reader Evidence::Reader::getRows() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::wagtail::wire::SharedRow::Builder Evidence::Builder::getConfiguration() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_builder.getPointerField(
+inline  ::wagtail::wire::GuardedRows::Builder Evidence::Builder::getRows() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::wagtail::wire::SharedRow::Pipeline Evidence::Pipeline::getConfiguration() {
-  return  ::wagtail::wire::SharedRow::Pipeline(_typeless.getPointerField(0));
+inline  ::wagtail::wire::GuardedRows::Pipeline Evidence::Pipeline::getRows() {
+  return  ::wagtail::wire::GuardedRows::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Evidence::Builder::setConfiguration( ::wagtail::wire::SharedRow::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::set(_builder.getPointerField(
+inline void Evidence::Builder::setRows( ::wagtail::wire::GuardedRows::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::wagtail::wire::SharedRow::Builder Evidence::Builder::initConfiguration() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::init(_builder.getPointerField(
+inline  ::wagtail::wire::GuardedRows::Builder Evidence::Builder::initRows() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Evidence::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::wagtail::wire::SharedRow>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::adopt(_builder.getPointerField(
+inline void Evidence::Builder::adoptRows(
+    ::capnp::Orphan< ::wagtail::wire::GuardedRows>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::wagtail::wire::SharedRow> Evidence::Builder::disownConfiguration() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::wagtail::wire::GuardedRows> Evidence::Builder::disownRows() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Evidence::Reader::hasVoters() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Evidence::Builder::hasVoters() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::wagtail::wire::SharedRow::Reader Evidence::Reader::getVoters() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::wagtail::wire::SharedRow::Builder Evidence::Builder::getVoters() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::wagtail::wire::SharedRow::Pipeline Evidence::Pipeline::getVoters() {
-  return  ::wagtail::wire::SharedRow::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void Evidence::Builder::setVoters( ::wagtail::wire::SharedRow::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::wagtail::wire::SharedRow::Builder Evidence::Builder::initVoters() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Evidence::Builder::adoptVoters(
-    ::capnp::Orphan< ::wagtail::wire::SharedRow>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::wagtail::wire::SharedRow> Evidence::Builder::disownVoters() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
 #if !CAPNP_LITE
 inline EntryPeer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -7007,18 +7344,43 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t EntryPeer::EvidenceParams::Reader::getKnownVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool EntryPeer::EvidenceParams::Reader::hasQuestion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t EntryPeer::EvidenceParams::Builder::getKnownVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool EntryPeer::EvidenceParams::Builder::hasQuestion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void EntryPeer::EvidenceParams::Builder::setKnownVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::wagtail::wire::EvidenceQuestion::Reader EntryPeer::EvidenceParams::Reader::getQuestion() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::wagtail::wire::EvidenceQuestion::Builder EntryPeer::EvidenceParams::Builder::getQuestion() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::wagtail::wire::EvidenceQuestion::Pipeline EntryPeer::EvidenceParams::Pipeline::getQuestion() {
+  return  ::wagtail::wire::EvidenceQuestion::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::EvidenceParams::Builder::setQuestion( ::wagtail::wire::EvidenceQuestion::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::wagtail::wire::EvidenceQuestion::Builder EntryPeer::EvidenceParams::Builder::initQuestion() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::EvidenceParams::Builder::adoptQuestion(
+    ::capnp::Orphan< ::wagtail::wire::EvidenceQuestion>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wagtail::wire::EvidenceQuestion> EntryPeer::EvidenceParams::Builder::disownQuestion() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool EntryPeer::EvidenceResults::Reader::hasEvidence() const {
