Let a loop's owner destroy RPC objects after the loop's last turn

Cause: timers that refer to an object can fire between its destruction on the loop and the loop's end; seen as a crash of the bench's dispatch_controller on a busy machine. Leaving the objects to the loop's end was tried and aborts in the library with events still in the queue.

--- a/libraries/rpc/event_loop.cc
+++ b/libraries/rpc/event_loop.cc
@@ -65,11 +65,14 @@
   tasks_->add(std::move(promise));
 }
 
-void event_loop::Stop() {
+void event_loop::Stop(work last) {
   if (!thread_.joinable()) {
     return;
   }
-  Post([this] { end_->fulfill(); });
+  Post([this, last = std::move(last)]() mutable {
+    last_ = std::move(last);
+    end_->fulfill();
+  });
   thread_.join();
   {
     std::scoped_lock lock(mutex_);
@@ -90,6 +93,10 @@
   auto wake = io.lowLevelProvider->wrapInputFd(wake_fd_);
   tasks.add(Drain(*wake));
   end.promise.wait(io.waitScope);
+  if (last_) {
+    last_();
+    last_ = {};
+  }
 }
 
 kj::Promise<void> event_loop::Drain(kj::AsyncInputStream& wake) {
--- a/libraries/rpc/event_loop.h
+++ b/libraries/rpc/event_loop.h
@@ -34,7 +34,9 @@
   /// Runs `item` after `delay`; on the loop's thread only.
   void After(duration delay, work item);
   /// Ends the loop and joins its thread; idempotent.
-  void Stop();
+  /// @param last run on the loop's thread after its last turn: the place to destroy RPC objects,
+  ///   since no timer or message can come between that and the end
+  void Stop(work last = {});
 
   /// @return network, timer and other facilities; on the loop's thread only
   kj::AsyncIoProvider& provider() { return *provider_; }
@@ -53,6 +55,7 @@
   std::mutex mutex_;
   std::vector<work> posted_;
   bool stopped_ = false;
+  work last_;
   kj::AsyncIoProvider* provider_ = nullptr;
   kj::TaskSet* tasks_ = nullptr;
   kj::Own<kj::PromiseFulfiller<void>> end_;
--- a/utilities/capacity_bench/throughput.cc
+++ b/utilities/capacity_bench/throughput.cc
@@ -28,13 +28,6 @@
 constexpr double kP50 = 0.50;
 constexpr double kP99 = 0.99;
 
-// Keeps what was used on a loop that has ended: its RPC objects can neither be destroyed without
-// the loop nor before it, while timers still refer to them.
-template <typename T>
-void Leak(T& used) {
-  new T(std::move(used));
-}
-
 // The targets on a loop of their own, so that both ends' processor time is told apart.
 class target_side {
  public:
@@ -55,8 +48,7 @@
     }
   }
   ~target_side() {
-    loop_.Stop();
-    Leak(targets_);
+    loop_.Stop([this] { targets_.clear(); });
   }
 
   event_loop& loop() { return loop_; }
@@ -94,8 +86,7 @@
     WaitForLinks(rows.size());
   }
   ~entry_side() {
-    loop_.Stop();
-    Leak(controller_);
+    loop_.Stop([this] { controller_.reset(); });
   }
 
   event_loop& loop() { return loop_; }
