--- a/libraries/rpc/batching_stream.cc
+++ b/libraries/rpc/batching_stream.cc
@@ -10,7 +10,7 @@
 
 constexpr size_t kReadBytes = 4096;
 // Written at once from here on, to bound what one turn keeps.
-constexpr size_t kMostPendingBytes = 256 * 1024;
+constexpr size_t kMostPendingBytes = size_t{256} * 1024;
 // Room that an idle connection keeps.
 constexpr size_t kKeptCapacity = 4096;
 
--- a/meta/capacity.sh
+++ b/meta/capacity.sh
@@ -87,6 +87,30 @@
   done
 )
 
+# change_row TARGETS: the time from a change's submission until it is in force everywhere.
+change_row() (
+  cluster_work=$(mktemp -d)
+  cluster_pid=()
+  trap stop_cluster EXIT
+  start_platform 1
+  apply_text "$(bench_text 0)" >/dev/null
+  "$bin/wagtail-capacity-bench" control --targets "$1" --cluster-key "$cluster_key" \
+    --table-url "$(url platform)" --measured-ms 30000 >/dev/null &
+  cluster_pid[bench]=$!
+  until_true has_ready entry-1 "$1"
+  local change began version times=
+  for change in 1 2 3; do
+    began=$(date +%s%N)
+    version=$(apply_text "$(bench_text $change)" | grep -oE 'version [0-9]+' | grep -oE '[0-9]+')
+    operate wait "$version" >/dev/null 2>&1
+    times+=" $((($(date +%s%N) - began) / 1000000))"
+  done
+  echo "| change in force, $1 targets, ms |$times |"
+)
+
 if [ "$part" = all ] || [ "$part" = throughput ]; then measure_throughput; echo; fi
 if [ "$part" = all ] || [ "$part" = control ]; then measure_control; echo; fi
-if [ "$part" = all ] || [ "$part" = table ]; then measure_table; fi
+if [ "$part" = all ] || [ "$part" = table ]; then
+  measure_table
+  for targets in 30 100 300; do change_row "$targets"; done
+fi
