--- a/tests/api/api_page_test.cc
+++ b/tests/api/api_page_test.cc
@@ -1,21 +1,13 @@
 #include <cstdlib>
 #include <fstream>
-#include <functional>
 #include <iterator>
-#include <map>
-#include <memory>
 #include <string>
 #include <thread>
 
 #include "base/verify.h"
-#include "entry/entry_daemon.h"
 #include "http/http_client.h"
-#include "http/http_server.h"
-#include "security/digest.h"
-#include "services/targetd/targetd_http.h"
-#include "table/memory_table.h"
-#include "target/target_daemon.h"
 #include "tests/api/page_examples.h"
+#include "tests/api/page_system.h"
 // Last: CppUTest's macros must not reach the library headers.
 #include <CppUTest/TestHarness.h>
 
@@ -24,67 +16,6 @@
 
 constexpr duration kStateLimit = std::chrono::seconds(60);
 constexpr duration kPollPause = std::chrono::milliseconds(20);
-constexpr duration kLongTask = std::chrono::milliseconds(300);
-constexpr const char* kClusterKey = "a-key-of-the-api-test";
-
-std::string UrlOf(uint16_t port) { return "http://127.0.0.1:" + std::to_string(port); }
-
-// A target that does what the bodies of the page ask for.
-http_response RunTask(const http_request& request) {
-  if (request.body == "sleep") {
-    std::this_thread::sleep_for(kLongTask);
-  }
-  int status = request.body == "fail" ? 500 : 200;
-  return {.status = status, .headers = {}, .body = "done: " + request.body};
-}
-
-std::unique_ptr<http_server> Serve(http_handler handler) {
-  auto server = http_server::Start({}, std::move(handler));
-  VERIFY(server.ok());
-  return *std::move(server);
-}
-
-std::unique_ptr<entry_daemon> MakeEntry(std::string name, table& table) {
-  entry_daemon_options options;
-  options.name = std::move(name);
-  options.failure_domain = "kandy-1";
-  options.cluster_key = kClusterKey;
-  options.bootstrap_token_digest = Sha256Hex("operator-token");
-  auto entry = std::make_unique<entry_daemon>(std::move(options), table);
-  VERIFY(entry->Start().ok());
-  return entry;
-}
-
-target_daemon_options DaemonOptions() {
-  target_daemon_options options;
-  options.target = "court-1";
-  options.failure_domain = "kandy-1";
-  options.cluster_key = kClusterKey;
-  return options;
-}
-
-// The processes that the page speaks of, in this one.
-struct page_system {
-  memory_table table;
-  std::unique_ptr<http_server> target = Serve(RunTask);
-  std::unique_ptr<entry_daemon> entry_1 = MakeEntry("entry-1", table);
-  std::unique_ptr<entry_daemon> entry_2 = MakeEntry("entry-2", table);
-  target_daemon daemon{DaemonOptions(), table};
-  std::unique_ptr<http_server> daemon_http;
-
-  page_system() {
-    VERIFY(daemon.Listen().ok());
-    daemon_http = Serve(
-        [this](const http_request& request) { return AnswerTargetdRequest(daemon, request); });
-  }
-  std::string UrlOfHost(const std::string& host) const {
-    if (host == "court-1-daemon") {
-      return UrlOf(daemon_http->port());
-    }
-    VERIFY(host == "entry-1" || host == "entry-2");
-    return UrlOf(host == "entry-1" ? entry_1->http_port() : entry_2->http_port());
-  }
-};
 
 std::string ReadPage() {
   const char* source = std::getenv("WAGTAIL_SOURCE");
@@ -133,7 +64,7 @@
 TEST(ApiPage, EveryExampleIsAnsweredAsShown) {
   page_system system;
   page_values values;
-  values.Set("$TARGET_URL", UrlOf(system.target->port()));
+  values.Set("$TARGET_URL", system.target_url());
   std::vector<page_example> examples = ReadExamples(ReadPage());
   CHECK(examples.size() > 30);
   for (const page_example& example : examples) {
