Refuse a submission without claiming that its job did not run

Cause: every check before the dispatcher (not ready, unknown token, bad body, unknown service, key not bound) answered failed_not_run. A resubmission refused by such a check was told that its job did not run although it had. Ruled out: asking the owner from the checks; an entry that is not ready has no peers to ask. A refusal now has an error and no outcome, and wagtail-load takes a 503 without outcome for no answer, so it sends the same id again.

--- a/libraries/entry/answer_json.cc
+++ b/libraries/entry/answer_json.cc
@@ -60,10 +60,7 @@
 }
 
 http_response RespondWith(const request_refusal& refusal) {
-  json body = {{"outcome", ToString(job_outcome::kFailedNotRun)},
-               {"reason", refusal.error},
-               {"message", refusal.message},
-               {"started", 0}};
+  json body = {{"error", refusal.error}, {"reason", refusal.error}, {"message", refusal.message}};
   if (refusal.retry_after > duration::zero()) {
     body["retry_after_ms"] = ToMilliseconds(refusal.retry_after);
   }
--- a/libraries/entry/answer_json.h
+++ b/libraries/entry/answer_json.h
@@ -19,7 +19,8 @@
 
 /// @return the final answer of a job as the caller gets it
 http_response RespondWith(std::string_view job_id, const job_answer& answer);
-/// @return a refusal; its outcome is always "failed_not_run"
+/// @return a refusal without an outcome: this request started nothing, but an earlier one with the
+///   same job id or key may have, and the checks that refuse know nothing of it
 http_response RespondWith(const request_refusal& refusal);
 /// @return an answer that says nothing of whether the job ran, for ids that can't be judged
 http_response RespondUnknown(int status, std::string_view error, std::string_view message);
--- a/utilities/wagtail_load/entry_client.cc
+++ b/utilities/wagtail_load/entry_client.cc
@@ -20,6 +20,7 @@
 /// Short, since another entry can mint in place of a silent one.
 constexpr duration kMintTimeout = std::chrono::seconds(2);
 constexpr int kFirstError = 400;
+constexpr int kServiceUnavailable = 503;
 
 json ParseLoosely(const std::string& text) {
   constexpr bool kAllowExceptions = false;
@@ -80,6 +81,10 @@
   if (outcome == "failed_not_run") {
     return {.outcome = submission_outcome::kFailedNotRun, .reason = std::move(reason), .body = ""};
   }
+  if (answer.status == kServiceUnavailable && outcome.empty()) {
+    // The entry refused to say anything of the job: the same as hearing nothing from it.
+    return {.outcome = submission_outcome::kNoAnswer, .reason = std::move(reason), .body = ""};
+  }
   return BadAnswer("without outcome, " + reason);
 }
 
