Fail a task that no target may take, and let it hold up no other

Cause: a refused task goes to the front of its service's queue, and one that every target had refused kept the whole service of the entry waiting until its deadline. Targets announced after the id was minted are no way out, so such a task can never run: its job now fails at once with no_target_left, as soon as what was handed over of it is settled. A task that waits for one busy target is passed over for at most 64 others a round. Ruled out: the placement, which had free slots.

--- a/libraries/dispatch/dispatcher.cc
+++ b/libraries/dispatch/dispatcher.cc
@@ -25,6 +25,15 @@
 // Entries of ended jobs that a queue may hold before they are swept out.
 constexpr size_t kStaleSlack = 1000;
 
+// Waiting tasks that one round of offers may pass over because some targets refuse just them.
+constexpr size_t kMaxPassedOver = 64;
+
+// Tasks were handed over, and none is known to have started: news of them may yet prove that the
+// job did not run.
+bool IsUndecided(const owned_job& job) {
+  return job.handed_over > 0 && std::ranges::none_of(job.tasks, IsKnownStarted);
+}
+
 bool ExcludesTarget(refusal reason) { return reason != refusal::kFull; }
 
 }  // namespace
@@ -102,7 +111,9 @@
 
 void dispatcher::AddTarget(const target_profile& profile, uint64_t announced_revision,
                            instant now) {
-  targets_[profile.incarnation].announced_revision = announced_revision;
+  known_target& known = targets_[profile.incarnation];
+  known.service = profile.service;
+  known.announced_revision = announced_revision;
   newest_announcement_ = std::max(newest_announcement_, announced_revision);
   placement_->AddTarget(profile, now);
   Pump(now);
@@ -355,13 +366,39 @@
 void dispatcher::PumpService(std::string_view service, waiting_queue& queue, instant now) {
   DropStale(queue);
   placement_->SetWaiting(service, queue.waiting);
-  while (!queue.tasks.empty()) {
+  std::vector<task_key> passed_over;
+  while (!queue.tasks.empty() && passed_over.size() < kMaxPassedOver) {
     task_key key = queue.tasks.front();
-    if (IsWaiting(key) && !OfferTask(service, queue, key, *jobs_.Find(key.job), now)) {
-      return;
+    if (!IsWaiting(key)) {
+      queue.tasks.pop_front();
+      continue;
+    }
+    owned_job& job = *jobs_.Find(key.job);
+    if (OfferTask(service, queue, key, job, now)) {
+      queue.tasks.pop_front();
+      continue;
     }
+    std::vector<target_incarnation> excluded = ExcludedFor(job, job.tasks.at(key.index));
+    if (excluded.empty()) {
+      break;
+    }
+    // Other tasks may go where this one may not.
     queue.tasks.pop_front();
+    if (HasPlaceBeyond(service, excluded) || IsUndecided(job)) {
+      passed_over.push_back(key);
+    } else {
+      FailJob(job, "no_target_left", options_.overload_retry_after);
+    }
   }
+  queue.tasks.insert(queue.tasks.begin(), passed_over.begin(), passed_over.end());
+}
+
+bool dispatcher::HasPlaceBeyond(std::string_view service,
+                                const std::vector<target_incarnation>& excluded) const {
+  return std::ranges::any_of(targets_, [&](const auto& known) {
+    const auto& [target, of_target] = known;
+    return of_target.service == service && std::ranges::find(excluded, target) == excluded.end();
+  });
 }
 
 bool dispatcher::IsWaiting(const task_key& key) {
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -111,6 +111,7 @@
 
  private:
   struct known_target {
+    std::string service;
     uint64_t announced_revision = 0;
     absl::flat_hash_set<task_key> handed_over;
   };
@@ -136,6 +137,9 @@
   bool OfferTask(std::string_view service, waiting_queue& queue, const task_key& key,
                  owned_job& job, instant now);
   std::vector<target_incarnation> ExcludedFor(const owned_job& job, const owned_task& task) const;
+  /// @return whether some target of the service, load aside, may still be given a task
+  bool HasPlaceBeyond(std::string_view service,
+                      const std::vector<target_incarnation>& excluded) const;
   start_request RequestFor(const owned_job& job, uint32_t index) const;
   void Release(const target_incarnation& target, owned_job& job, const task_key& key);
   void TaskNotStarted(const target_incarnation& target, owned_job& job, const task_key& key,
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -305,6 +305,39 @@
   CheckOnlyAnswer(job_outcome::kFailedMayHaveRun, "recovered_by_another_entry");
 }
 
+TEST(Dispatcher, ATaskThatEveryTargetRefusesFailsAtOnceAndHoldsUpNoOther) {
+  Submit(Submission(1, 1));
+  Refuse(starts[0], refusal::kWithdrawn);
+  Refuse(starts[1], refusal::kWithdrawn);
+  CheckOnlyAnswer(job_outcome::kFailedNotRun, "no_target_left");
+  Submit(Submission(2, 1));
+  LONGS_EQUAL(3, starts.size());
+}
+
+TEST(Dispatcher, NotRunIsProvedBeforeAJobWithoutTargetFails) {
+  Submit(Submission(1, 2));
+  Refuse(starts[0], refusal::kWithdrawn);
+  Refuse(starts[2], refusal::kWithdrawn);
+  CHECK(answers.empty());
+  Refuse(starts[1], refusal::kWithdrawn);
+  Refuse(starts[3], refusal::kWithdrawn);
+  CheckOnlyAnswer(job_outcome::kFailedNotRun, "no_target_left");
+}
+
+TEST(Dispatcher, ATaskThatWaitsForOneTargetHoldsUpNoOther) {
+  places->targets[kSecond].room = 0;
+  Submit(Submission(1, 1));
+  Refuse(starts[0], refusal::kWithdrawn);
+  Submit(Submission(2, 1));
+  LONGS_EQUAL(2, starts.size());
+  LONGS_EQUAL(2, starts[1].request.key.job.sequence);
+  CHECK(answers.empty());
+  places->targets[kSecond].room = 1;
+  Finish(starts[1]);
+  LONGS_EQUAL(3, starts.size());
+  LONGS_EQUAL(1, starts[2].request.key.job.sequence);
+}
+
 TEST(Dispatcher, RefusalsWithoutEndFailTheJob) {
   dispatcher_options options;
   options.max_refusals = 3;
