Tell the owner which queued tasks a fence withdrew

Cause: a fence took queued tasks away without a word to their owner, so that an owner which had only been paused answered its caller at the deadline, as failed_may_have_run. Ruled out: the link, which stood. The daemon now gives them back as fenced.

Before: OwnerLoss.PausedOwnerStartsNothingAfterNotRun failed after 31 s. After: it passes in 11 s, of which 10 s are the tasks that keep the target busy; ledger_test 18 of 18.

--- a/libraries/jobs/task.h
+++ b/libraries/jobs/task.h
@@ -67,6 +67,8 @@
 struct fence_report {
   bool forgotten = false;            ///< the id's life is over; nothing can be said of the job
   std::vector<task_record> started;  ///< every task of the job that was started here
+  /// Indexes of tasks that this fence took out of the queue; not told to the asker.
+  std::vector<uint32_t> withdrawn = {};
 };
 
 /// The end of one task, told by the target's daemon to the entry that started it.
--- a/libraries/ledger/start_ledger.cc
+++ b/libraries/ledger/start_ledger.cc
@@ -152,6 +152,7 @@
     if (task.state == task_state::kQueued) {
       RemoveFromQueue(of_task);
       task.state = task_state::kNeverStarted;
+      report.withdrawn.push_back(index);
     }
     if (task.state != task_state::kNeverStarted) {
       report.started.push_back(RecordOf(of_task, job, task));
--- a/libraries/target/target_daemon.cc
+++ b/libraries/target/target_daemon.cc
@@ -146,7 +146,12 @@
     return ledger_->Settle(tasks, queued, MonotonicNow());
   };
   hooks.fence = [this](const job_key& job, uint64_t minted_uptime_ms) {
-    return ledger_->FenceJob(job, minted_uptime_ms, MonotonicNow());
+    fence_report report = ledger_->FenceJob(job, minted_uptime_ms, MonotonicNow());
+    // The owner may only have been paused; its callers then need not wait for their deadlines.
+    for (uint32_t index : report.withdrawn) {
+      sessions_.TellNotStarted({.job = job, .index = index}, refusal::kFenced);
+    }
+    return report;
   };
   hooks.load = [this] { return Load(); };
   return hooks;
