--- a/libraries/base/identifiers.h
+++ b/libraries/base/identifiers.h
@@ -14,6 +14,7 @@
 /// One life of an entry process. A restarted entry is another incarnation.
 struct entry_incarnation {
   uint64_t nonce = 0;  ///< random, never zero for a live incarnation
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the defaulted comparison
   auto operator<=>(const entry_incarnation&) const = default;
 };
 
@@ -33,6 +34,7 @@
 struct job_key {
   entry_incarnation owner;
   uint64_t sequence = 0;  ///< counts the ids minted by `owner`
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the defaulted comparison
   auto operator<=>(const job_key&) const = default;
   template <typename H>
   friend H AbslHashValue(H state, const job_key& value) {
@@ -44,6 +46,7 @@
 struct task_key {
   job_key job;
   uint32_t index = 0;  ///< position in the job as submitted
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the defaulted comparison
   auto operator<=>(const task_key&) const = default;
   template <typename H>
   friend H AbslHashValue(H state, const task_key& value) {
--- a/libraries/entry/entry_daemon.cc
+++ b/libraries/entry/entry_daemon.cc
@@ -35,6 +35,14 @@
 constexpr duration kFarewell = std::chrono::milliseconds(50);
 constexpr duration kStopPoll = std::chrono::milliseconds(10);
 
+// Entries must not draw the same tie-breaks, or they all choose the same target at once.
+placement_options PlacementOf(const entry_daemon_options& options, entry_incarnation self) {
+  placement_options placement = options.placement;
+  placement.seed = self.nonce;
+  placement.failure_domain = options.failure_domain;
+  return placement;
+}
+
 // The listening side of the RPC system, made and ended on the loop's thread.
 class peer_server {
  public:
@@ -122,7 +130,7 @@
                                     .cluster_key = options.cluster_key,
                                     .self = self,
                                     .self_name = options.name},
-        MakePlacement(options.placement),
+        MakePlacement(PlacementOf(options, self)),
         [this](const target_row& row, const target_report& report) {
           return PolicyFor(row, report);
         });
--- a/tests/entry/key_binding_test.cc
+++ b/tests/entry/key_binding_test.cc
@@ -39,7 +39,7 @@
 }
 
 TEST(KeyBinding, OldBindingsAreSweptAndYoungOnesStay) {
-  constexpr int64_t kDayS = 24 * 3600;
+  constexpr int64_t kDayS = int64_t{24} * 3600;
   BindKey(rows, "club", "old", Wanted("id-1", 0)).IgnoreError();
   BindKey(rows, "club", "young", Wanted("id-2", 100)).IgnoreError();
   LONGS_EQUAL(1, *SweepKeys(rows, kDayS + 50));
--- a/tests/soak/sim_world.cc
+++ b/tests/soak/sim_world.cc
@@ -436,7 +436,8 @@
 
 void sim_world::BeginTask(const target_pointer& target, const start_request& request) {
   ++counts_.starts;
-  auto [record, is_first] = starts_.try_emplace(request.key, target->row.incarnation);
+  auto [record, is_first] =
+      starts_.try_emplace(request.key, start_record{.target = target->row.incarnation});
   if (!is_first) {
     Violate(
         absl::StrCat("task started twice: ", ToString(request.key.job), "/", request.key.index));
