--- a/libraries/entry/entry_daemon.cc
+++ b/libraries/entry/entry_daemon.cc
@@ -21,6 +21,7 @@
 #include "entry/table_watcher.h"
 #include "http/http_server.h"
 #include "logging/logging.h"
+#include "rpc/batching_stream.h"
 #include "rpc/require.h"
 #include "security/digest.h"
 
@@ -157,7 +158,7 @@
   loop.Post([this, address, &listening] {
     auto listen = loop.provider().getNetwork().parseAddress(address).then(
         [this, &listening](kj::Own<kj::NetworkAddress> where) {
-          auto receiver = where->listen();
+          auto receiver = Batching(where->listen());
           rpc_port = static_cast<uint16_t>(receiver->getPort());
           context.emplace(
               entry_context{.self = self,
--- a/libraries/placement/expected_finish.cc
+++ b/libraries/placement/expected_finish.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <numbers>
 
+#include "base/verify.h"
+
 namespace wagtail {
 
 namespace {
@@ -29,15 +31,21 @@
   service.queue_ahead = QueueAhead(request.group, position);
   std::vector<forecast> forecasts;
   forecasts.reserve(request.group.targets.size());
+  // The candidates come in the order of the group's targets.
+  auto candidate = request.candidates.begin();
   for (target_state* target : request.group.targets) {
+    const bool is_candidate = candidate != request.candidates.end() && *candidate == target;
+    if (is_candidate) {
+      ++candidate;
+    }
     if (!target->IsUsable()) {
       continue;
     }
     forecast entry = ForecastOf(target, service, request.now);
-    entry.is_open =
-        entry.is_open && std::ranges::find(request.candidates, target) != request.candidates.end();
+    entry.is_open = entry.is_open && is_candidate;
     forecasts.push_back(entry);
   }
+  VERIFY(candidate == request.candidates.end());
   const auto cost = [](const forecast& entry) {
     return entry.is_open ? entry.finish : std::numeric_limits<double>::infinity();
   };
--- a/libraries/target/target_daemon.cc
+++ b/libraries/target/target_daemon.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/verify.h"
+#include "rpc/batching_stream.h"
 #include "rpc/require.h"
 
 namespace wagtail {
@@ -48,7 +49,7 @@
   loop_.Post([this, address, &listening] {
     auto parsed = loop_.provider().getNetwork().parseAddress(address);
     auto listen = parsed.then([this, &listening](kj::Own<kj::NetworkAddress> where) {
-      server_ = std::make_unique<rpc_server>(where->listen(),
+      server_ = std::make_unique<rpc_server>(Batching(where->listen()),
                                              MakeTargetGate(options_.cluster_key, hooks_));
       rpc_port_ = server_->port();
       listening.set_value(absl::OkStatus());
