Give each handshake its own nonces; write what the daemons share once

Ruled out: TLS between the processes for now: it would also hide the traffic, and needs keys that operators renew.

--- a/libraries/entry/entry_daemon.cc
+++ b/libraries/entry/entry_daemon.cc
@@ -1,7 +1,5 @@
 #include "entry/entry_daemon.h"
 
-#include <capnp/rpc-twoparty.h>
-
 #include <algorithm>
 #include <future>
 #include <optional>
@@ -21,8 +19,8 @@
 #include "entry/table_watcher.h"
 #include "http/http_server.h"
 #include "logging/logging.h"
-#include "rpc/batching_stream.h"
 #include "rpc/require.h"
+#include "rpc/rpc_server.h"
 #include "security/digest.h"
 
 namespace wagtail {
@@ -44,21 +42,6 @@
   return placement;
 }
 
-// The listening side of the RPC system, made and ended on the loop's thread.
-class peer_server {
- public:
-  peer_server(kj::Own<kj::ConnectionReceiver> receiver, wire::EntryGate::Client gate)
-      : receiver_(kj::mv(receiver)),
-        server_(kj::mv(gate)),
-        listening_(server_.listen(*receiver_).eagerlyEvaluate([](kj::Exception&& /*error*/) {})) {}
-  uint16_t port() { return static_cast<uint16_t>(receiver_->getPort()); }
-
- private:
-  kj::Own<kj::ConnectionReceiver> receiver_;
-  capnp::TwoPartyServer server_;
-  kj::Promise<void> listening_;  // refers to both of the above
-};
-
 }  // namespace
 
 /// Members in the order in which they depend on one another.
@@ -110,7 +93,7 @@
   std::unique_ptr<job_service> jobs;
   std::unique_ptr<job_api> callers;
   std::unique_ptr<operator_api> operators;
-  std::unique_ptr<peer_server> server;
+  std::unique_ptr<rpc_server> server;
   std::unique_ptr<table_watcher> watcher;
   std::unique_ptr<http_server> http;
 };
@@ -153,40 +136,29 @@
 }
 
 absl::Status entry_daemon::parts::ListenForPeers() {
-  std::promise<absl::Status> listening;
   std::string address = absl::StrCat(options.rpc_address, ":", options.rpc_port);
-  loop.Post([this, address, &listening] {
-    auto listen = loop.provider().getNetwork().parseAddress(address).then(
-        [this, &listening](kj::Own<kj::NetworkAddress> where) {
-          auto receiver = Batching(where->listen());
-          rpc_port = static_cast<uint16_t>(receiver->getPort());
-          context.emplace(
-              entry_context{.self = self,
-                            .rpc_address = absl::StrCat(options.rpc_address, ":", rpc_port),
-                            .loop = loop,
-                            .platform_table = platform_table,
-                            .ids = ids,
-                            .metrics = metrics,
-                            .quotas = quotas,
-                            .view = view,
-                            .next_sequence = next_sequence,
-                            .registry_revision = registry_revision,
-                            .dispatch = *dispatch,
-                            .configuration = configuration,
-                            .freshness = *freshness,
-                            .targets = targets,
-                            .peers = *peers,
-                            .recoveries = *recoveries});
-          jobs = std::make_unique<job_service>(*context);
-          server = std::make_unique<peer_server>(
-              kj::mv(receiver), MakeEntryGate(options.cluster_key, *context, *jobs));
-          listening.set_value(absl::OkStatus());
-        });
-    loop.Detach(kj::mv(listen), [&listening](kj::Exception&& error) {
-      listening.set_value(absl::UnavailableError(error.getDescription().cStr()));
-    });
+  return rpc_server::Listen(loop, address, [this](kj::Own<kj::ConnectionReceiver> receiver) {
+    rpc_port = static_cast<uint16_t>(receiver->getPort());
+    context.emplace(entry_context{.self = self,
+                                  .rpc_address = absl::StrCat(options.rpc_address, ":", rpc_port),
+                                  .loop = loop,
+                                  .platform_table = platform_table,
+                                  .ids = ids,
+                                  .metrics = metrics,
+                                  .quotas = quotas,
+                                  .view = view,
+                                  .next_sequence = next_sequence,
+                                  .registry_revision = registry_revision,
+                                  .dispatch = *dispatch,
+                                  .configuration = configuration,
+                                  .freshness = *freshness,
+                                  .targets = targets,
+                                  .peers = *peers,
+                                  .recoveries = *recoveries});
+    jobs = std::make_unique<job_service>(*context);
+    server = std::make_unique<rpc_server>(kj::mv(receiver),
+                                          MakeEntryGate(options.cluster_key, *context, *jobs));
   });
-  return listening.get_future().get();
 }
 
 absl::Status entry_daemon::parts::ListenForCallers() {
--- a/libraries/entry/entry_gate.cc
+++ b/libraries/entry/entry_gate.cc
@@ -6,6 +6,7 @@
 #include "entry/answer_json.h"
 #include "rpc/freshness_codec.h"
 #include "rpc/handshake.h"
+#include "rpc/handshake_nonces.h"
 #include "rpc/require.h"
 #include "rpc/wire_codec.h"
 
@@ -94,28 +95,27 @@
 class entry_gate final : public wire::EntryGate::Server {
  public:
   entry_gate(std::string cluster_key, entry_context& context, job_service& jobs)
-      : cluster_key_(std::move(cluster_key)),
-        context_(context),
-        jobs_(jobs),
-        nonce_(RandomNonce64()) {}
+      : cluster_key_(std::move(cluster_key)), context_(context), jobs_(jobs) {}
 
  protected:
   kj::Promise<void> challenge(ChallengeContext context) override {  // NOLINT: generated name
-    context.getResults().setNonce(nonce_);
+    context.getResults().setNonce(nonces_.Issue());
     return kj::READY_NOW;
   }
 
   kj::Promise<void> enter(EnterContext context) override {  // NOLINT: generated name
     auto params = context.getParams();
-    uint64_t caller = params.getEntryNonce();
-    Require(IsHandshakeProof(ToText(params.getProof()), cluster_key_, handshake_side::kCaller,
-                             nonce_, caller),
-            "handshake refused");
+    uint64_t nonce = params.getListenerNonce();
+    uint64_t caller = params.getCallerNonce();
+    bool is_proven =
+        nonces_.Redeem(nonce) && IsHandshakeProof(ToText(params.getProof()), cluster_key_,
+                                                  handshake_side::kCaller, nonce, caller);
+    Require(is_proven, "handshake refused");
     auto results = context.getResults();
     results.setPeer(kj::heap<entry_peer>(context_, jobs_));
     results.setNonce(context_.self.nonce);
     results.setProof(
-        ToData(HandshakeProof(cluster_key_, handshake_side::kListener, nonce_, caller)));
+        ToData(HandshakeProof(cluster_key_, handshake_side::kListener, nonce, caller)));
     return kj::READY_NOW;
   }
 
@@ -123,7 +123,7 @@
   std::string cluster_key_;
   entry_context& context_;
   job_service& jobs_;
-  uint64_t nonce_;
+  handshake_nonces nonces_;
 };
 
 }  // namespace
--- a/libraries/entry/peer_links.cc
+++ b/libraries/entry/peer_links.cc
@@ -58,13 +58,15 @@
         return gate.challengeRequest().send().then(
             [this, connection, gate](auto&& challenge) mutable {
               uint64_t nonce = challenge.getNonce();
+              uint64_t own_nonce = RandomNonce64();
               auto request = gate.enterRequest();
-              request.setEntryNonce(options_.self.nonce);
-              request.setProof(ToData(HandshakeProof(options_.cluster_key, handshake_side::kCaller,
-                                                     nonce, options_.self.nonce)));
-              return request.send().then([this, connection, nonce](auto&& entered) {
+              request.setListenerNonce(nonce);
+              request.setCallerNonce(own_nonce);
+              request.setProof(ToData(
+                  HandshakeProof(options_.cluster_key, handshake_side::kCaller, nonce, own_nonce)));
+              return request.send().then([this, connection, nonce, own_nonce](auto&& entered) {
                 Require(IsHandshakeProof(ToText(entered.getProof()), options_.cluster_key,
-                                         handshake_side::kListener, nonce, options_.self.nonce),
+                                         handshake_side::kListener, nonce, own_nonce),
                         "handshake refused");
                 connection->incarnation = entered.getNonce();
                 return entered.getPeer();
--- a/libraries/entry/target_link.cc
+++ b/libraries/entry/target_link.cc
@@ -126,15 +126,18 @@
   uint64_t generation = generation_;
   return gate.challengeRequest().send().then([this, gate, generation](auto&& challenge) mutable {
     uint64_t nonce = challenge.getNonce();
+    uint64_t own_nonce = RandomNonce64();
     auto request = gate.enterRequest();
+    request.setListenerNonce(nonce);
+    request.setCallerNonce(own_nonce);
     request.setEntryNonce(options_.self.nonce);
     request.setEntryName(ToWireText(options_.self_name));
-    request.setProof(ToData(
-        HandshakeProof(options_.cluster_key, handshake_side::kCaller, nonce, options_.self.nonce)));
+    request.setProof(
+        ToData(HandshakeProof(options_.cluster_key, handshake_side::kCaller, nonce, own_nonce)));
     request.setListener(kj::heap<listener>(*this, generation));
-    return request.send().then([this, nonce](auto&& entered) {
+    return request.send().then([this, nonce, own_nonce](auto&& entered) {
       Require(IsHandshakeProof(ToText(entered.getProof()), options_.cluster_key,
-                               handshake_side::kListener, nonce, options_.self.nonce),
+                               handshake_side::kListener, nonce, own_nonce),
               "handshake refused");
       Require(entered.getIncarnation() == options_.target.number &&
                   options_.target.target == entered.getTarget().cStr(),
--- a/libraries/rpc/handshake.h
+++ b/libraries/rpc/handshake.h
@@ -16,7 +16,7 @@
 /// @param cluster_key the shared secret from the settings
 /// @param side whose proof it is
 /// @param listener_nonce chosen by the end that listens, fresh for each connection
-/// @param caller_nonce chosen by the end that connects, fresh for each process
+/// @param caller_nonce chosen by the end that connects, fresh for each connection
 /// @return HMAC-SHA256 over both nonces
 sha256_digest HandshakeProof(std::string_view cluster_key, handshake_side side,
                              uint64_t listener_nonce, uint64_t caller_nonce);
--- a/libraries/rpc/wire.capnp
+++ b/libraries/rpc/wire.capnp
@@ -79,8 +79,9 @@
 # Offered by a target's daemon.
 interface TargetGate {
   challenge @0 () -> (nonce :UInt64);
-  # proof: HMAC of the cluster key over the nonce and the entry's nonce.
-  enter @1 (entryNonce :UInt64, entryName :Text, proof :Data, listener :EntryListener)
+  # proof: HMAC of the cluster key over the two nonces, each chosen afresh for this connection.
+  enter @1 (listenerNonce :UInt64, callerNonce :UInt64, entryNonce :UInt64, entryName :Text,
+            proof :Data, listener :EntryListener)
       -> (session :TargetSession, target :Text, incarnation :UInt64, proof :Data);
 }
 
@@ -103,7 +104,8 @@
 # Offered by an entry to other entries.
 interface EntryGate {
   challenge @0 () -> (nonce :UInt64);
-  enter @1 (entryNonce :UInt64, proof :Data) -> (peer :EntryPeer, nonce :UInt64, proof :Data);
+  enter @1 (listenerNonce :UInt64, callerNonce :UInt64, proof :Data)
+      -> (peer :EntryPeer, nonce :UInt64, proof :Data);
 }
 
 # A table row as one process hands it on to another.
--- a/libraries/rpc/wire.capnp.h
+++ b/libraries/rpc/wire.capnp.h
@@ -282,7 +282,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c9b999a64d8b8900, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c9b999a64d8b8900, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -589,7 +589,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8dee5e5d2749f21e, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8dee5e5d2749f21e, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2007,6 +2007,10 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getListenerNonce() const;
+
+  inline  ::uint64_t getCallerNonce() const;
+
   inline  ::uint64_t getEntryNonce() const;
 
   inline bool hasEntryName() const;
@@ -2048,6 +2052,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getListenerNonce();
+  inline void setListenerNonce( ::uint64_t value);
+
+  inline  ::uint64_t getCallerNonce();
+  inline void setCallerNonce( ::uint64_t value);
+
   inline  ::uint64_t getEntryNonce();
   inline void setEntryNonce( ::uint64_t value);
 
@@ -3578,7 +3588,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEntryNonce() const;
+  inline  ::uint64_t getListenerNonce() const;
+
+  inline  ::uint64_t getCallerNonce() const;
 
   inline bool hasProof() const;
   inline  ::capnp::Data::Reader getProof() const;
@@ -3611,8 +3623,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEntryNonce();
-  inline void setEntryNonce( ::uint64_t value);
+  inline  ::uint64_t getListenerNonce();
+  inline void setListenerNonce( ::uint64_t value);
+
+  inline  ::uint64_t getCallerNonce();
+  inline void setCallerNonce( ::uint64_t value);
 
   inline bool hasProof();
   inline  ::capnp::Data::Builder getProof();
@@ -5713,20 +5728,48 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TargetGate::EnterParams::Reader::getEntryNonce() const {
+inline  ::uint64_t TargetGate::EnterParams::Reader::getListenerNonce() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TargetGate::EnterParams::Builder::getEntryNonce() {
+inline  ::uint64_t TargetGate::EnterParams::Builder::getListenerNonce() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TargetGate::EnterParams::Builder::setEntryNonce( ::uint64_t value) {
+inline void TargetGate::EnterParams::Builder::setListenerNonce( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t TargetGate::EnterParams::Reader::getCallerNonce() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetGate::EnterParams::Builder::getCallerNonce() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TargetGate::EnterParams::Builder::setCallerNonce( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TargetGate::EnterParams::Reader::getEntryNonce() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetGate::EnterParams::Builder::getEntryNonce() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetGate::EnterParams::Builder::setEntryNonce( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TargetGate::EnterParams::Reader::hasEntryName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6589,20 +6632,34 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t EntryGate::EnterParams::Reader::getEntryNonce() const {
+inline  ::uint64_t EntryGate::EnterParams::Reader::getListenerNonce() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t EntryGate::EnterParams::Builder::getEntryNonce() {
+inline  ::uint64_t EntryGate::EnterParams::Builder::getListenerNonce() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EntryGate::EnterParams::Builder::setEntryNonce( ::uint64_t value) {
+inline void EntryGate::EnterParams::Builder::setListenerNonce( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t EntryGate::EnterParams::Reader::getCallerNonce() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryGate::EnterParams::Builder::getCallerNonce() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EntryGate::EnterParams::Builder::setCallerNonce( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryGate::EnterParams::Reader::hasProof() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/libraries/target/target_daemon.cc
+++ b/libraries/target/target_daemon.cc
@@ -1,13 +1,10 @@
 #include "target/target_daemon.h"
 
-#include <capnp/rpc-twoparty.h>
-
 #include <future>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "base/verify.h"
-#include "rpc/batching_stream.h"
 #include "rpc/require.h"
 
 namespace wagtail {
@@ -19,21 +16,6 @@
 
 }  // namespace
 
-/// The listening side of the RPC system, made and ended on the loop's thread.
-class target_daemon::rpc_server {
- public:
-  rpc_server(kj::Own<kj::ConnectionReceiver> receiver, wire::TargetGate::Client gate)
-      : receiver_(kj::mv(receiver)),
-        server_(kj::mv(gate)),
-        listening_(server_.listen(*receiver_).eagerlyEvaluate([](kj::Exception&& /*error*/) {})) {}
-  uint16_t port() { return static_cast<uint16_t>(receiver_->getPort()); }
-
- private:
-  kj::Own<kj::ConnectionReceiver> receiver_;
-  capnp::TwoPartyServer server_;
-  kj::Promise<void> listening_;  // refers to both of the above
-};
-
 target_daemon::target_daemon(target_daemon_options options, table& table)
     : options_(std::move(options)),
       table_(table),
@@ -44,21 +26,13 @@
 target_daemon::~target_daemon() { Stop(); }
 
 absl::Status target_daemon::Listen() {
-  std::promise<absl::Status> listening;
   std::string address = absl::StrCat(options_.rpc_address, ":", options_.rpc_port);
-  loop_.Post([this, address, &listening] {
-    auto parsed = loop_.provider().getNetwork().parseAddress(address);
-    auto listen = parsed.then([this, &listening](kj::Own<kj::NetworkAddress> where) {
-      server_ = std::make_unique<rpc_server>(Batching(where->listen()),
-                                             MakeTargetGate(options_.cluster_key, hooks_));
-      rpc_port_ = server_->port();
-      listening.set_value(absl::OkStatus());
-    });
-    loop_.Detach(kj::mv(listen), [&listening](kj::Exception&& error) {
-      listening.set_value(absl::UnavailableError(error.getDescription().cStr()));
-    });
-  });
-  absl::Status status = listening.get_future().get();
+  absl::Status status =
+      rpc_server::Listen(loop_, address, [this](kj::Own<kj::ConnectionReceiver> receiver) {
+        server_ = std::make_unique<rpc_server>(kj::mv(receiver),
+                                               MakeTargetGate(options_.cluster_key, hooks_));
+        rpc_port_ = server_->port();
+      });
   if (status.ok()) {
     loop_.Post([this] { Heartbeat(); });
   }
--- a/libraries/target/target_daemon.h
+++ b/libraries/target/target_daemon.h
@@ -14,6 +14,7 @@
 #include "ledger/start_ledger.h"
 #include "placement/placement.h"
 #include "rpc/event_loop.h"
+#include "rpc/rpc_server.h"
 #include "table/table.h"
 #include "target/announcer.h"
 #include "target/entry_sessions.h"
@@ -114,7 +115,6 @@
   std::optional<recorded_target_row> announced_;
   std::optional<start_ledger> ledger_;
   std::unique_ptr<task_runner> runner_;
-  class rpc_server;
   std::unique_ptr<rpc_server> server_;
 };
 
--- a/libraries/target/target_gate.cc
+++ b/libraries/target/target_gate.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "rpc/handshake.h"
+#include "rpc/handshake_nonces.h"
 #include "rpc/require.h"
 #include "rpc/wire_codec.h"
 
@@ -73,35 +74,37 @@
 class target_gate final : public wire::TargetGate::Server {
  public:
   target_gate(std::string cluster_key, const target_gate_hooks& hooks)
-      : cluster_key_(std::move(cluster_key)), hooks_(hooks), nonce_(RandomNonce64()) {}
+      : cluster_key_(std::move(cluster_key)), hooks_(hooks) {}
 
  protected:
   kj::Promise<void> challenge(ChallengeContext context) override {  // NOLINT: generated name
-    context.getResults().setNonce(nonce_);
+    context.getResults().setNonce(nonces_.Issue());
     return kj::READY_NOW;
   }
 
   kj::Promise<void> enter(EnterContext context) override {  // NOLINT: generated name
     auto params = context.getParams();
-    uint64_t entry = params.getEntryNonce();
-    Require(IsHandshakeProof(ToText(params.getProof()), cluster_key_, handshake_side::kCaller,
-                             nonce_, entry),
-            "handshake refused");
-    hooks_.on_enter({.nonce = entry}, params.getListener());
+    uint64_t nonce = params.getListenerNonce();
+    uint64_t caller = params.getCallerNonce();
+    bool is_proven =
+        nonces_.Redeem(nonce) && IsHandshakeProof(ToText(params.getProof()), cluster_key_,
+                                                  handshake_side::kCaller, nonce, caller);
+    Require(is_proven, "handshake refused");
+    hooks_.on_enter({.nonce = params.getEntryNonce()}, params.getListener());
     target_incarnation self = hooks_.self();
     auto results = context.getResults();
     results.setSession(kj::heap<target_session>(hooks_));
     results.setTarget(ToWireText(self.target));
     results.setIncarnation(self.number);
     results.setProof(
-        ToData(HandshakeProof(cluster_key_, handshake_side::kListener, nonce_, entry)));
+        ToData(HandshakeProof(cluster_key_, handshake_side::kListener, nonce, caller)));
     return kj::READY_NOW;
   }
 
  private:
   std::string cluster_key_;
   const target_gate_hooks& hooks_;
-  uint64_t nonce_;
+  handshake_nonces nonces_;
 };
 
 }  // namespace
