Take the waiting tasks out of the dispatcher into a class of their own

Change: waiting_tasks with hooks for what the dispatcher decides; test programs run four at a time. Ruled out: splitting the file without a class.

--- a/libraries/dispatch/dispatcher.cc
+++ b/libraries/dispatch/dispatcher.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "admission/admission_error.h"
-#include "base/try.h"
 #include "base/verify.h"
 
 namespace wagtail {
@@ -25,12 +24,6 @@
   return reason == refusal::kStale || reason == refusal::kLeaving || reason == refusal::kStopping;
 }
 
-// Entries of ended jobs that a queue may hold before they are swept out.
-constexpr size_t kStaleSlack = 1000;
-
-// Waiting tasks that one round of offers may pass over because some targets refuse just them.
-constexpr size_t kMaxPassedOver = 64;
-
 // Tasks were handed over, and none is known to have started: news of them may yet prove that the
 // job did not run.
 bool IsUndecided(const owned_job& job) {
@@ -45,9 +38,8 @@
     : options_(options),
       placement_(std::move(placement)),
       jobs_(options.jobs),
-      retries_(options.retries) {
-  options_.overload.max_queued_tasks = static_cast<uint32_t>(options_.max_waiting_tasks);
-}
+      retries_(options.retries),
+      waiting_(options.waiting, WaitingHooks()) {}
 
 submit_outcome dispatcher::Submit(job_submission submission, answer_hook hook, uint64_t uptime_ms,
                                   instant now) {
@@ -71,7 +63,7 @@
   std::optional<std::string> impossible = WhyImpossible(submission);
   job_key key = submission.key;
   instant deadline = submission.deadline;
-  absl::Status load = CheckLoad(submission, now);
+  absl::Status load = waiting_.CheckLoad(submission, now);
   owned_job* job = jobs_.Insert(std::move(submission), uptime_ms);
   if (job == nullptr) {
     // Nothing remembers this id, so a later submission of it is judged anew: still not run.
@@ -108,27 +100,6 @@
   return "no_target_for_service:" + unmet->service;
 }
 
-absl::Status dispatcher::CheckLoad(const job_submission& submission, instant now) {
-  auto count = static_cast<uint32_t>(submission.tasks.size());
-  if (waiting_count_ + count > options_.max_waiting_tasks) {
-    return MakeRefusal(admission_error::kQueueFull, "the entry's queue is full",
-                       options_.overload_retry_after);
-  }
-  std::map<std::string_view, uint32_t> tasks_of;
-  for (const task_spec& task : submission.tasks) {
-    ++tasks_of[task.service];
-  }
-  for (const auto& [service, tasks] : tasks_of) {
-    waiting_queue& queue = QueueOf(std::string(service));
-    TRY(queue.guard.Check(tasks, queue.waiting, submission.deadline - now, now));
-  }
-  return absl::OkStatus();
-}
-
-dispatcher::waiting_queue& dispatcher::QueueOf(const std::string& service) {
-  return waiting_.try_emplace(service, options_.overload).first->second;
-}
-
 bool dispatcher::Cancel(const job_key& key, instant now) {
   owned_job* job = jobs_.Find(key);
   if (job == nullptr || job->has_ended()) {
@@ -313,13 +284,9 @@
             options_.overload_retry_after);
     return;
   }
-  auto queue = waiting_.find(job.submission.tasks.at(key.index).service);
-  VERIFY(queue != waiting_.end());
-  queue->second.tasks.PutBack(job.submission.team, key);
+  waiting_.PutBack(job.submission.tasks.at(key.index).service, job.submission.team, key);
   task.may_retry = false;
-  ++queue->second.waiting;
   task.progress = task_progress::kWaiting;
-  ++waiting_count_;
 }
 
 void dispatcher::TaskEnded(owned_job& job, const task_key& key, bool completed, std::string body,
@@ -378,60 +345,26 @@
 
 void dispatcher::Enqueue(const owned_job& job, uint32_t index) {
   const std::string& service = job.submission.tasks[index].service;
-  waiting_queue& queue = QueueOf(service);
   auto need = std::ranges::find(job.submission.needs, service, &service_need::service);
-  if (need != job.submission.needs.end()) {
-    queue.requirements = need->requirements;
-  }
-  bool is_taken =
-      queue.tasks.Push(job.submission.team, {.job = job.submission.key, .index = index});
-  VERIFY(is_taken);
-  ++queue.waiting;
-  ++waiting_count_;
+  bool has_need = need != job.submission.needs.end();
+  waiting_.Push(service, has_need ? need->requirements : target_requirements{}, job.submission.team,
+                {.job = job.submission.key, .index = index});
 }
 
-void dispatcher::Pump(instant now) {
-  for (auto& [service, queue] : waiting_) {
-    PumpService(service, queue, now);
-  }
+waiting_tasks::hooks dispatcher::WaitingHooks() {
+  waiting_tasks::hooks hooks;
+  hooks.is_waiting = [this](const task_key& key) { return IsWaiting(key); };
+  hooks.team_of = [this](const task_key& key) { return jobs_.Find(key.job)->submission.team; };
+  hooks.on_round = [this](std::string_view service, uint32_t tasks) {
+    placement_->SetWaiting(service, tasks);
+  };
+  hooks.offer = [this](std::string_view service, const target_requirements& requirements,
+                       const task_key& key,
+                       instant now) { return OfferTask(service, requirements, key, now); };
+  return hooks;
 }
 
-void dispatcher::PumpService(std::string_view service, waiting_queue& queue, instant now) {
-  DropStale(queue);
-  placement_->SetWaiting(service, queue.waiting);
-  std::vector<task_key> passed_over;
-  while (passed_over.size() < kMaxPassedOver) {
-    std::optional<task_key> key = queue.tasks.Pop();
-    if (!key.has_value()) {
-      break;
-    }
-    if (!IsWaiting(*key)) {
-      continue;
-    }
-    owned_job& job = *jobs_.Find(key->job);
-    offer result = OfferTask(service, queue, *key, job, now);
-    if (result == offer::kSent) {
-      continue;
-    }
-    std::vector<target_incarnation> excluded = ExcludedFor(job, job.tasks.at(key->index));
-    if (result == offer::kNoTarget && excluded.empty()) {
-      queue.tasks.PutBack(job.submission.team, *key);
-      break;
-    }
-    // Other tasks may go where this one may not, or need no retry.
-    if (result == offer::kOverBudget || HasPlaceBeyond(service, excluded) || IsUndecided(job)) {
-      passed_over.push_back(*key);
-    } else {
-      FailJob(job, "no_target_left", options_.overload_retry_after);
-    }
-  }
-  std::ranges::reverse(passed_over);
-  for (const task_key& key : passed_over) {
-    if (IsWaiting(key)) {
-      queue.tasks.PutBack(jobs_.Find(key.job)->submission.team, key);
-    }
-  }
-}
+void dispatcher::Pump(instant now) { waiting_.OfferAll(now); }
 
 bool dispatcher::HasPlaceBeyond(std::string_view service,
                                 const std::vector<target_incarnation>& excluded) const {
@@ -447,48 +380,42 @@
          job->tasks.at(key.index).progress == task_progress::kWaiting;
 }
 
-void dispatcher::DropStale(waiting_queue& queue) {
-  if (queue.tasks.size() > 2 * size_t{queue.waiting} + kStaleSlack) {
-    queue.tasks.RemoveIf([this](const task_key& key) { return !IsWaiting(key); });
-  }
-}
-
-void dispatcher::NoLongerWaiting(waiting_queue& queue) {
-  VERIFY(queue.waiting > 0 && waiting_count_ > 0);
-  --queue.waiting;
-  --waiting_count_;
-}
-
-dispatcher::offer dispatcher::OfferTask(std::string_view service, waiting_queue& queue,
-                                        const task_key& key, owned_job& job, instant now) {
+offer_result dispatcher::OfferTask(std::string_view service,
+                                   const target_requirements& requirements, const task_key& key,
+                                   instant now) {
+  owned_job& job = *jobs_.Find(key.job);
   owned_task& task = job.tasks.at(key.index);
   bool is_retry = task.refusals > 0;
   if (is_retry && !task.may_retry && !retries_.TryRetry(now)) {
-    return offer::kOverBudget;
+    return offer_result::kPassOver;
   }
   task.may_retry = true;
   std::vector<target_incarnation> excluded = ExcludedFor(job, task);
-  std::optional<target_incarnation> target =
-      placement_->Pick(service, queue.requirements, excluded, now);
+  std::optional<target_incarnation> target = placement_->Pick(service, requirements, excluded, now);
+  if (!target.has_value() && excluded.empty()) {
+    return offer_result::kNoTarget;
+  }
+  if (!target.has_value() && (HasPlaceBeyond(service, excluded) || IsUndecided(job))) {
+    return offer_result::kPassOver;
+  }
   if (!target.has_value()) {
-    return offer::kNoTarget;
+    FailJob(job, "no_target_left", options_.overload_retry_after);
+    return offer_result::kEnded;
   }
   if (!is_retry) {
     retries_.OnFirstAttempt();
   }
-  queue.guard.OnSent(now);
   known_target& known = targets_.at(*target);
   VERIFY(known.announced_revision <= job.submission.registry_revision);
   VERIFY(task.progress == task_progress::kWaiting);
   task.progress = task_progress::kSent;
   task.target = *target;
-  NoLongerWaiting(queue);
   ++job.handed_over;
   known.handed_over.insert(key);
   placement_->OnSent(*target, now);
   ++counters_.tasks_sent;
   actions_.emplace_back(start_action{*target, RequestFor(job, key.index)});
-  return offer::kSent;
+  return offer_result::kSent;
 }
 
 std::vector<target_incarnation> dispatcher::ExcludedFor(const owned_job& job,
@@ -550,7 +477,7 @@
       actions_.emplace_back(withdraw_action{task.target, RequestFor(job, index)});
     } else if (!IsHandedOver(task.progress) && !IsKnownStarted(task)) {
       if (task.progress == task_progress::kWaiting) {
-        NoLongerWaiting(waiting_.find(job.submission.tasks[index].service)->second);
+        waiting_.Forget(job.submission.tasks[index].service);
       }
       task.progress = task_progress::kDropped;
     }
@@ -606,7 +533,7 @@
   if (!unsettled_.empty()) {
     consider(unsettled_.front().first);
   }
-  if (waiting_count_ > 0) {
+  if (waiting_.size() > 0) {
     if (std::optional<instant> offer = placement_->NextWake(now); offer.has_value()) {
       consider(*offer);
     }
--- a/libraries/dispatch/dispatcher.h
+++ b/libraries/dispatch/dispatcher.h
@@ -12,13 +12,12 @@
 #include <vector>
 
 #include "absl/container/btree_set.h"
-#include "admission/fair_queue.h"
-#include "admission/overload_guard.h"
 #include "admission/retry_budget.h"
 #include "base/identifiers.h"
 #include "base/time.h"
 #include "dispatch/dispatch_action.h"
 #include "dispatch/job_table.h"
+#include "dispatch/waiting_tasks.h"
 #include "jobs/job.h"
 #include "jobs/task.h"
 #include "placement/placement.h"
@@ -31,11 +30,10 @@
 
 struct dispatcher_options {
   job_table_options jobs;
-  size_t max_waiting_tasks = 50'000;                ///< tasks of all jobs that wait for a target
+  waiting_tasks_options waiting;
   uint32_t max_refusals = 64;                       ///< of one task, before its job fails
   duration settle_limit = std::chrono::seconds(5);  ///< for learning what became of a task after
                                                     ///< its link was lost
-  overload_options overload;                        ///< when a job is refused rather than queued
   retry_budget_options retries;                     ///< of tasks that a target's daemon refused
   duration overload_retry_after = std::chrono::milliseconds(500);
 };
@@ -107,7 +105,7 @@
   void EndAll(std::string_view reason, instant now);
 
   size_t jobs_in_progress() const { return jobs_.in_progress(); }
-  size_t waiting_tasks() const { return waiting_count_; }
+  size_t waiting_count() const { return waiting_.size(); }
   const dispatcher_counters& counters() const { return counters_; }
   /// @return the job, or nullptr; for status pages
   const owned_job* FindJob(const job_key& key) { return jobs_.Find(key); }
@@ -119,14 +117,6 @@
     uint64_t announced_revision = 0;
     absl::btree_set<task_key> handed_over;  ///< in order, so that runs repeat
   };
-  struct waiting_queue {
-    target_requirements requirements;
-    explicit waiting_queue(const overload_options& overload) : guard(overload) {}
-
-    fair_queue<task_key> tasks{SIZE_MAX};  ///< by team; tasks of ended jobs among them
-    overload_guard guard;
-    uint32_t waiting = 0;  ///< tasks that really wait
-  };
   struct deadline_entry {
     instant at;
     job_key job;
@@ -134,19 +124,13 @@
   };
 
   std::optional<std::string> WhyImpossible(const job_submission& submission) const;
-  /// @return OK, or why the job's tasks had better not wait here
-  absl::Status CheckLoad(const job_submission& submission, instant now);
-  waiting_queue& QueueOf(const std::string& service);
   void OpenStage(owned_job& job);
   void Enqueue(const owned_job& job, uint32_t index);
   void Pump(instant now);
-  void PumpService(std::string_view service, waiting_queue& queue, instant now);
+  waiting_tasks::hooks WaitingHooks();
   bool IsWaiting(const task_key& key);
-  void DropStale(waiting_queue& queue);
-  void NoLongerWaiting(waiting_queue& queue);
-  enum class offer { kSent, kNoTarget, kOverBudget };
-  offer OfferTask(std::string_view service, waiting_queue& queue, const task_key& key,
-                  owned_job& job, instant now);
+  offer_result OfferTask(std::string_view service, const target_requirements& requirements,
+                         const task_key& key, instant now);
   std::vector<target_incarnation> ExcludedFor(const owned_job& job, const owned_task& task) const;
   /// @return whether some target of the service, load aside, may still be given a task
   bool HasPlaceBeyond(std::string_view service,
@@ -168,10 +152,9 @@
   std::unique_ptr<placement> placement_;
   job_table jobs_;
   std::map<target_incarnation, known_target> targets_;
-  std::map<std::string, waiting_queue, std::less<>> waiting_;
-  size_t waiting_count_ = 0;
-  uint64_t newest_announcement_ = 0;
   retry_budget retries_;
+  waiting_tasks waiting_;
+  uint64_t newest_announcement_ = 0;
   std::priority_queue<deadline_entry, std::vector<deadline_entry>, std::greater<>> deadlines_;
   std::deque<std::pair<instant, task_key>> unsettled_;
   std::vector<dispatch_action> actions_;
--- /dev/null
+++ b/libraries/dispatch/waiting_tasks.cc
@@ -0,0 +1,118 @@
+#include "dispatch/waiting_tasks.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "admission/admission_error.h"
+#include "base/try.h"
+#include "base/verify.h"
+
+namespace wagtail {
+
+namespace {
+
+// Entries of ended jobs that a queue may hold before they are swept out.
+constexpr size_t kStaleSlack = 1000;
+
+// Waiting tasks that one round of offers may pass over because some targets refuse just them.
+constexpr size_t kMaxPassedOver = 64;
+
+}  // namespace
+
+waiting_tasks::waiting_tasks(const waiting_tasks_options& options, hooks hooks)
+    : options_(options), hooks_(std::move(hooks)) {
+  options_.overload.max_queued_tasks = static_cast<uint32_t>(options_.max_tasks);
+}
+
+absl::Status waiting_tasks::CheckLoad(const job_submission& submission, instant now) {
+  if (size_ + submission.tasks.size() > options_.max_tasks) {
+    return MakeRefusal(admission_error::kQueueFull, "the entry's queue is full",
+                       options_.retry_after);
+  }
+  std::map<std::string, uint32_t> tasks_of;
+  for (const task_spec& task : submission.tasks) {
+    ++tasks_of[task.service];
+  }
+  for (const auto& [service, tasks] : tasks_of) {
+    queue& queue = QueueOf(service);
+    TRY(queue.guard.Check(tasks, queue.waiting, submission.deadline - now, now));
+  }
+  return absl::OkStatus();
+}
+
+waiting_tasks::queue& waiting_tasks::QueueOf(const std::string& service) {
+  return queues_.try_emplace(service, options_.overload).first->second;
+}
+
+void waiting_tasks::Push(const std::string& service, const target_requirements& requirements,
+                         std::string_view team, const task_key& key) {
+  queue& queue = QueueOf(service);
+  queue.requirements = requirements;
+  bool is_taken = queue.tasks.Push(team, key);
+  VERIFY(is_taken);
+  ++queue.waiting;
+  ++size_;
+}
+
+void waiting_tasks::PutBack(const std::string& service, std::string_view team,
+                            const task_key& key) {
+  queue& queue = QueueOf(service);
+  queue.tasks.PutBack(team, key);
+  ++queue.waiting;
+  ++size_;
+}
+
+void waiting_tasks::Forget(const std::string& service) { NoLongerWaiting(QueueOf(service)); }
+
+void waiting_tasks::NoLongerWaiting(queue& queue) {
+  VERIFY(queue.waiting > 0 && size_ > 0);
+  --queue.waiting;
+  --size_;
+}
+
+void waiting_tasks::DropStale(queue& queue) {
+  if (queue.tasks.size() > 2 * size_t{queue.waiting} + kStaleSlack) {
+    queue.tasks.RemoveIf([this](const task_key& key) { return !hooks_.is_waiting(key); });
+  }
+}
+
+void waiting_tasks::OfferAll(instant now) {
+  for (auto& [service, queue] : queues_) {
+    OfferQueue(service, queue, now);
+  }
+}
+
+void waiting_tasks::OfferQueue(std::string_view service, queue& queue, instant now) {
+  DropStale(queue);
+  hooks_.on_round(service, queue.waiting);
+  std::vector<task_key> passed_over;
+  while (passed_over.size() < kMaxPassedOver) {
+    std::optional<task_key> key = queue.tasks.Pop();
+    if (!key.has_value()) {
+      break;
+    }
+    if (!hooks_.is_waiting(*key)) {
+      continue;
+    }
+    offer_result result = hooks_.offer(service, queue.requirements, *key, now);
+    if (result == offer_result::kNoTarget) {
+      queue.tasks.PutBack(hooks_.team_of(*key), *key);
+      break;
+    }
+    if (result == offer_result::kSent) {
+      NoLongerWaiting(queue);
+      queue.guard.OnSent(now);
+    } else if (result == offer_result::kPassOver) {
+      passed_over.push_back(*key);
+    }
+  }
+  std::ranges::reverse(passed_over);
+  for (const task_key& key : passed_over) {
+    if (hooks_.is_waiting(key)) {
+      queue.tasks.PutBack(hooks_.team_of(key), key);
+    }
+  }
+}
+
+}  // namespace wagtail
--- a/libraries/entry/entry_daemon.cc
+++ b/libraries/entry/entry_daemon.cc
@@ -321,7 +321,7 @@
     dispatcher& decisions = dispatch->decisions();
     figures.counters = decisions.counters();
     figures.jobs_in_progress = decisions.jobs_in_progress();
-    figures.waiting_tasks = decisions.waiting_tasks();
+    figures.waiting_tasks = decisions.waiting_count();
     figures.targets_linked =
         static_cast<uint64_t>(std::ranges::count_if(dispatch->Targets(), &target_status::is_up));
     figures.configuration_version = configuration.current().version;
--- a/libraries/entry/operator_api.cc
+++ b/libraries/entry/operator_api.cc
@@ -230,7 +230,7 @@
             {"uptime_ms", context_.dispatch.UptimeMs()},
             {"targets", context_.dispatch.Targets().size()},
             {"jobs_in_progress", context_.dispatch.decisions().jobs_in_progress()},
-            {"waiting_tasks", context_.dispatch.decisions().waiting_tasks()},
+            {"waiting_tasks", context_.dispatch.decisions().waiting_count()},
             {"jobs_complete", counters.jobs_complete},
             {"jobs_failed_not_run", counters.jobs_failed_not_run},
             {"jobs_failed_may_have_run", counters.jobs_failed_may_have_run},
--- a/meta/test.sh
+++ b/meta/test.sh
@@ -7,7 +7,7 @@
 meta/build.sh || exit 1
 log=$(mktemp)
 trap 'rm -f "$log"' EXIT
-(cd "$WAGTAIL_BUILD" && ctest --output-on-failure --no-tests=error -V) >"$log" 2>&1
+(cd "$WAGTAIL_BUILD" && ctest -j 4 --output-on-failure --no-tests=error -V) >"$log" 2>&1
 ctest_code=$?
 grep -E 'error: Failure in TEST|^[0-9]+: +(expected|but was)' "$log"
 total=$(grep -oE '\(([0-9]+ failures?, )?[0-9]+ tests, [0-9]+ ran' "$log" | grep -oE '[0-9]+ ran' | awk '{n+=$1} END{print n+0}')
--- a/services/entryd/entryd_settings.cc
+++ b/services/entryd/entryd_settings.cc
@@ -34,8 +34,8 @@
     jobs.max_jobs = file.Unsigned("max_jobs", jobs.max_jobs, {1, 10'000'000});
     jobs.max_answer_bytes =
         file.Unsigned("max_answer_bytes", jobs.max_answer_bytes, {1 << 20, 16ULL << 30});
-    daemon.dispatcher.max_waiting_tasks =
-        file.Unsigned("max_waiting_tasks", daemon.dispatcher.max_waiting_tasks, {1, 10'000'000});
+    daemon.dispatcher.waiting.max_tasks =
+        file.Unsigned("max_waiting_tasks", daemon.dispatcher.waiting.max_tasks, {1, 10'000'000});
   }));
   return settings;
 }
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -222,17 +222,17 @@
   Take();
   CheckOnlyAnswer(job_outcome::kFailedNotRun, "deadline_exceeded");
   CHECK(answers[0].retry_after > duration::zero());
-  LONGS_EQUAL(0, decisions->waiting_tasks());
+  LONGS_EQUAL(0, decisions->waiting_count());
 }
 
 TEST(Dispatcher, CancellingReleasesWaitingTasksAtOnce) {
   places->targets[kFirst].room = 1;
   places->targets[kSecond].room = 0;
   Submit(Submission(1, 5));
-  LONGS_EQUAL(4, decisions->waiting_tasks());
+  LONGS_EQUAL(4, decisions->waiting_count());
   CHECK(decisions->Cancel(Submission(1, 5).key, kStart));
   Take();
-  LONGS_EQUAL(0, decisions->waiting_tasks());
+  LONGS_EQUAL(0, decisions->waiting_count());
   CheckOnlyAnswer(job_outcome::kFailedMayHaveRun, "cancelled");
   CHECK_FALSE(decisions->Cancel(Submission(1, 5).key, kStart));
 }
@@ -245,7 +245,7 @@
     CHECK(decisions->Cancel(Submission(sequence, 20).key, kStart));
   }
   Take();
-  LONGS_EQUAL(0, decisions->waiting_tasks());
+  LONGS_EQUAL(0, decisions->waiting_count());
   LONGS_EQUAL(0, decisions->jobs_in_progress());
   places->targets[kFirst].room = 100;
   Submit(Submission(3000, 1));
@@ -261,7 +261,7 @@
 
 TEST(Dispatcher, ShedsAJobThatDoesNotFitTheQueue) {
   dispatcher_options options;
-  options.max_waiting_tasks = 2;
+  options.waiting.max_tasks = 2;
   Make(options);
   Submit(Submission(1, 3));
   CheckOnlyAnswer(job_outcome::kFailedNotRun, "overloaded");
--- a/tests/soak/sim_entry.cc
+++ b/tests/soak/sim_entry.cc
@@ -10,7 +10,7 @@
   dispatcher_options options;
   options.jobs.id_life = id_life;
   options.jobs.max_jobs = 5000;
-  options.max_waiting_tasks = 2000;
+  options.waiting.max_tasks = 2000;
   return options;
 }
 
