--- a/libraries/entry/entry_daemon.cc
+++ b/libraries/entry/entry_daemon.cc
@@ -19,6 +19,7 @@
 #include "entry/table_watcher.h"
 #include "http/http_server.h"
 #include "logging/logging.h"
+#include "metrics/process_metrics.h"
 #include "rpc/require.h"
 #include "rpc/rpc_server.h"
 #include "security/digest.h"
@@ -107,6 +108,7 @@
         ApplyQuotas();
         PublishView();
       }) {
+  AddProcessMetrics(registry);
   loop.Run([this] {
     dispatch = std::make_unique<dispatch_controller>(
         loop,
--- a/libraries/entry/operator_api.cc
+++ b/libraries/entry/operator_api.cc
@@ -12,6 +12,7 @@
 #include "entry/job_api.h"
 #include "logging/logging.h"
 #include "security/digest.h"
+#include "settings/settings_text.h"
 
 namespace wagtail {
 
@@ -141,6 +142,9 @@
   if (is_get && path == "jobs") {
     return ShowJobs();
   }
+  if (is_post && path == "log-level") {
+    return ChangeLogLevel(request, *author);
+  }
   if (is_post && path.starts_with(kJobsPrefix) && path.ends_with(kCancelSuffix)) {
     path.remove_prefix(kJobsPrefix.size());
     path.remove_suffix(kCancelSuffix.size());
@@ -193,6 +197,19 @@
   return RespondJson(json({{"version", committed->to_version}, {"outcome", "committed"}}).dump());
 }
 
+http_response operator_api::ChangeLogLevel(const http_request& request, const std::string& author) {
+  std::string text;
+  absl::Status read = ReadSettings(
+      request.body, "request", [&text](object_reader& body) { text = body.RequiredText("level"); });
+  absl::StatusOr<log_level> level = read.ok() ? ParseLogLevel(text) : read;
+  if (!level.ok()) {
+    return Refuse(kUnprocessable, "bad_request", level.status());
+  }
+  SetLogLevel(*level);
+  LogFact(log_level::kWarning, "log_level_changed", {{"author", author}, {"level", text}});
+  return RespondJson(json({{"level", text}}).dump());
+}
+
 http_response operator_api::ShowChange(std::string_view change_id) {
   absl::StatusOr<audit_record> found = FindChange(context_.platform_table, change_id);
   if (found.ok()) {
--- a/services/targetd/targetd_http.cc
+++ b/services/targetd/targetd_http.cc
@@ -4,6 +4,7 @@
 
 #include "configuration/configuration_text.h"
 #include "metrics/metrics_registry.h"
+#include "metrics/process_metrics.h"
 #include "settings/settings_text.h"
 
 namespace wagtail {
@@ -53,6 +54,7 @@
 http_response AnswerMetrics(target_daemon& daemon) {
   target_daemon_status status = daemon.Status();
   metrics_registry metrics;
+  AddProcessMetrics(metrics);
   auto count = [&metrics](std::string_view name, std::string_view help, uint64_t value) {
     metrics.Counters(name, help).Add({}).Increment(static_cast<double>(value));
   };
