Let an operator vouch that a lost entry has ended, so that a lost majority of voters can be mended

Cause: two of three entries killed and started again: nothing was called in force for good, since the dead lives' votes were needed to remove them; only a life's own word counted. Ruled out: taking a restart under the same name for the old life's end; it may be frozen elsewhere.

--- a/libraries/entry/entry_registration.cc
+++ b/libraries/entry/entry_registration.cc
@@ -7,30 +7,65 @@
 
 namespace wagtail {
 
-absl::Status RegisterEntry(table& table, const entry_row& wanted) {
-  std::string key = EntryKey(wanted.name);
+namespace {
+
+struct present_row {
+  std::optional<entry_row> row;
+  uint64_t revision = 0;  ///< 0: there is none
+};
+
+absl::StatusOr<present_row> ReadRow(table& table, const std::string& key) {
   table_changes changes = TRY(table.Read(key, 0));
   auto row = std::ranges::find(changes.rows, key, &table_row::key);
-  std::optional<entry_row> previous;
-  uint64_t revision = 0;
+  present_row present;
   if (row != changes.rows.end() && row->value.has_value()) {
-    entry_row parsed = TRY(ParseEntryRow(key, *row->value));
-    previous = std::move(parsed);
-    revision = row->revision;
+    present.row = TRY(ParseEntryRow(key, *row->value));
+    present.revision = row->revision;
   }
-  bool is_own = previous.has_value() && previous->incarnation == wanted.incarnation;
+  return present;
+}
+
+absl::Status WriteRow(table& table, const std::string& key, uint64_t expected,
+                      const entry_row& row) {
+  table_transaction write;
+  write.conditions.push_back({.key = key, .revision = expected});
+  write.writes.push_back({.key = key, .value = Serialise(row)});
+  TRY(table.Commit(write));
+  return absl::OkStatus();
+}
+
+}  // namespace
+
+absl::Status RegisterEntry(table& table, const entry_row& wanted) {
+  std::string key = EntryKey(wanted.name);
+  present_row present = TRY(ReadRow(table, key));
+  bool is_own = present.row.has_value() && present.row->incarnation == wanted.incarnation;
   if (wanted.state == entry_state::kStopped && !is_own) {
     return absl::FailedPreconditionError("the row belongs to another incarnation");
   }
-  entry_row next = is_own ? wanted : NextRegistration(wanted, previous);
+  entry_row next = is_own ? wanted : NextRegistration(wanted, present.row);
   if (is_own) {
-    next.stopped_before = previous->stopped_before;
+    next.stopped_before = present.row->stopped_before;
   }
-  table_transaction write;
-  write.conditions.push_back({.key = key, .revision = revision});
-  write.writes.push_back({.key = key, .value = Serialise(next)});
-  TRY(table.Commit(write));
-  return absl::OkStatus();
+  return WriteRow(table, key, present.revision, next);
+}
+
+absl::Status VouchEnded(table& table, std::string_view name,
+                        std::span<const entry_incarnation> lives) {
+  std::string key = EntryKey(name);
+  present_row present = TRY(ReadRow(table, key));
+  if (!present.row.has_value()) {
+    return absl::NotFoundError("no entry of that name has registered");
+  }
+  entry_row next = *present.row;
+  for (entry_incarnation ended : lives) {
+    if (ended == next.incarnation) {
+      next.state = entry_state::kStopped;
+    } else {
+      next = WithStoppedLife(next, ended);
+    }
+  }
+  return WriteRow(table, key, present.revision, next);
 }
 
 }  // namespace wagtail
--- a/libraries/entry/freshness_controller.cc
+++ b/libraries/entry/freshness_controller.cc
@@ -19,14 +19,20 @@
 
 void freshness_controller::OnRead(instant read_started, const table_changes& changes) {
   decisions_.OnTableRead(read_started, changes, MonotonicNow());
-  for (const entry_row& row : parts_.entries.Present()) {
-    for (entry_incarnation ended : StoppedLives(row)) {
-      decisions_.OnEntryStopped(ended, MonotonicNow());
+  for (const auto& [name, known] : parts_.entries.records()) {
+    if (known.row.has_value()) {
+      NoteStoppedLives(*known.row);
     }
   }
   AdoptConfiguration();
 }
 
+void freshness_controller::NoteStoppedLives(const entry_row& row) {
+  for (entry_incarnation ended : StoppedLives(row)) {
+    decisions_.OnEntryStopped(ended, MonotonicNow());
+  }
+}
+
 void freshness_controller::AdoptConfiguration() {
   const guarded_row& row = decisions_.rows().configuration;
   if (row.revision > parts_.configuration.revision() && !row.text.empty()) {
@@ -86,6 +92,13 @@
   return decisions_.tracker().Missing(version(), MonotonicNow());
 }
 
+std::optional<entry_incarnation> freshness_controller::ServingLife(std::string_view name) const {
+  const entry_registry::record* known = parts_.entries.Find(name);
+  bool is_serving =
+      known != nullptr && known->row.has_value() && known->row->state == entry_state::kServing;
+  return is_serving ? std::optional(known->row->incarnation) : std::nullopt;
+}
+
 void freshness_controller::StepVoters() {
   std::optional<voter_set> next = NextVoters(decisions_.voters(), parts_.entries);
   if (!next.has_value() || !decisions_.MayChangeVoters() || step_under_way_) {
--- a/libraries/entry/freshness_controller.h
+++ b/libraries/entry/freshness_controller.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "entry/background_worker.h"
@@ -50,9 +51,12 @@
   uint64_t version() const { return decisions_.rows().version(); }
   bool IsInForce() const;
   std::vector<missing_party> Missing() const;
+  /// @return the life of an entry that its row shows as serving
+  std::optional<entry_incarnation> ServingLife(std::string_view name) const;
   const voter_set& voters() const { return decisions_.voters(); }
 
  private:
+  void NoteStoppedLives(const entry_row& row);
   void AdoptConfiguration();
   void Ask(const outgoing_question& question);
   void StepVoters();
--- a/libraries/entry/operator_api.cc
+++ b/libraries/entry/operator_api.cc
@@ -9,6 +9,7 @@
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
 #include "entry/answer_json.h"
+#include "entry/entry_registration.h"
 #include "entry/job_api.h"
 #include "logging/logging.h"
 #include "security/digest.h"
@@ -29,6 +30,8 @@
 constexpr std::string_view kPrefix = "/v1/operator/";
 constexpr std::string_view kChangesPrefix = "changes/";
 constexpr std::string_view kJobsPrefix = "jobs/";
+constexpr std::string_view kEntriesPrefix = "entries/";
+constexpr std::string_view kEndedSuffix = "/ended";
 constexpr std::string_view kCancelSuffix = "/cancel";
 
 std::string NowInRfc3339() {
@@ -142,6 +145,11 @@
   if (is_get && path == "jobs") {
     return ShowJobs();
   }
+  if (is_post && path.starts_with(kEntriesPrefix) && path.ends_with(kEndedSuffix)) {
+    path.remove_prefix(kEntriesPrefix.size());
+    path.remove_suffix(kEndedSuffix.size());
+    return EndEntry(path, *author);
+  }
   if (is_post && path == "log-level") {
     return ChangeLogLevel(request, *author);
   }
@@ -197,6 +205,33 @@
   return RespondJson(json({{"version", committed->to_version}, {"outcome", "committed"}}).dump());
 }
 
+http_response operator_api::EndEntry(std::string_view name, const std::string& author) {
+  std::vector<entry_incarnation> ended;
+  std::optional<entry_incarnation> serving;
+  context_.loop.Run([&] {
+    for (const voter& member : context_.freshness.voters().members()) {
+      if (member.name == name) {
+        ended.push_back(member.incarnation);
+      }
+    }
+    serving = context_.freshness.ServingLife(name);
+  });
+  bool has_come_back =
+      std::ranges::any_of(ended, [&](entry_incarnation life) { return life != serving; });
+  if (has_come_back) {
+    std::erase_if(ended, [&](entry_incarnation life) { return life == serving; });
+  }
+  absl::Status written = VouchEnded(context_.platform_table, name, ended);
+  if (!written.ok()) {
+    bool is_unknown = written.code() == absl::StatusCode::kNotFound;
+    return Refuse(is_unknown ? kNotFound : kServiceUnavailable,
+                  is_unknown ? "unknown_entry" : "not_applied", written);
+  }
+  LogFact(log_level::kWarning, "entry_vouched_ended",
+          {{"author", author}, {"entry", std::string(name)}});
+  return RespondJson(json({{"entry", name}, {"votes_given_up", ended.size()}}).dump());
+}
+
 http_response operator_api::ChangeLogLevel(const http_request& request, const std::string& author) {
   std::string text;
   absl::Status read = ReadSettings(
