--- a/tests/process/operators_test.cc
+++ b/tests/process/operators_test.cc
@@ -36,7 +36,7 @@
 void RunJobs(caller& club, const std::function<bool()>& is_over) {
   for (size_t turn = 0; !is_over(); ++turn) {
     final_answer answer = club.Submit(turn % 2, club.Mint(turn % 2), JobOf(4, 20));
-    STRCMP_EQUAL("complete", answer.outcome().c_str());
+    STRCMP_EQUAL_TEXT("complete", answer.outcome().c_str(), answer.body.c_str());
   }
 }
 // Runs jobs until the target has started a task.
