--- a/tests/ledger/start_ledger_test.cc
+++ b/tests/ledger/start_ledger_test.cc
@@ -179,6 +179,26 @@
   CHECK(small.Accept(Request(1, 1), kUptimeMs, kStart) == refusal::kLedgerFull);
 }
 
+TEST(StartLedger, KeepsNoFenceBeyondItsBoundAndThenSaysNothing) {
+  start_ledger_options options = Options();
+  options.max_records = 1;
+  start_ledger small(options, [](instant /*now*/) { return refusal::kNone; });
+  CHECK_FALSE(small.FenceJob(Request(1, 0).key.job, kUptimeMs, kStart).forgotten);
+  CHECK(small.FenceJob(Request(2, 0).key.job, kUptimeMs, kStart).forgotten);
+  std::vector<start_request> asked = {Request(3, 0)};
+  CHECK(small.Settle(asked, queued_tasks::kKeep, kStart)[0].state == task_state::kForgotten);
+  LONGS_EQUAL(1, small.record_count());
+}
+
+TEST(StartLedger, SaysNothingOfAnOwnerThatItCanNotDate) {
+  start_ledger_options options = Options();
+  options.max_owners = 1;
+  start_ledger small(options, [](instant /*now*/) { return refusal::kNone; });
+  CHECK(small.Accept(Request(1, 0), kUptimeMs, kStart) == refusal::kNone);
+  job_key other{.owner = {kOwner + 1}, .sequence = 1};
+  CHECK(small.FenceJob(other, kUptimeMs, kStart).forgotten);
+}
+
 TEST(StartLedger, DropsTheOldestAnswersAndKeepsTheirRecords) {
   start_ledger_options options = Options();
   options.max_body_bytes = 6;
