--- a/libraries/entry/entry_gate.cc
+++ b/libraries/entry/entry_gate.cc
@@ -5,9 +5,7 @@
 
 #include "entry/answer_json.h"
 #include "rpc/freshness_codec.h"
-#include "rpc/handshake.h"
-#include "rpc/handshake_nonces.h"
-#include "rpc/require.h"
+#include "rpc/handshake_listener.h"
 #include "rpc/wire_codec.h"
 
 namespace wagtail {
@@ -95,35 +93,29 @@
 class entry_gate final : public wire::EntryGate::Server {
  public:
   entry_gate(std::string cluster_key, entry_context& context, job_service& jobs)
-      : cluster_key_(std::move(cluster_key)), context_(context), jobs_(jobs) {}
+      : handshakes_(std::move(cluster_key)), context_(context), jobs_(jobs) {}
 
  protected:
   kj::Promise<void> challenge(ChallengeContext context) override {  // NOLINT: generated name
-    context.getResults().setNonce(nonces_.Issue());
+    context.getResults().setNonce(handshakes_.Challenge());
     return kj::READY_NOW;
   }
 
   kj::Promise<void> enter(EnterContext context) override {  // NOLINT: generated name
     auto params = context.getParams();
-    uint64_t nonce = params.getListenerNonce();
-    uint64_t caller = params.getCallerNonce();
-    bool is_proven =
-        nonces_.Redeem(nonce) && IsHandshakeProof(ToText(params.getProof()), cluster_key_,
-                                                  handshake_side::kCaller, nonce, caller);
-    Require(is_proven, "handshake refused");
+    sha256_digest proof = handshakes_.Accept(params.getListenerNonce(), params.getCallerNonce(),
+                                             ToText(params.getProof()));
     auto results = context.getResults();
     results.setPeer(kj::heap<entry_peer>(context_, jobs_));
     results.setNonce(context_.self.nonce);
-    results.setProof(
-        ToData(HandshakeProof(cluster_key_, handshake_side::kListener, nonce, caller)));
+    results.setProof(ToData(proof));
     return kj::READY_NOW;
   }
 
  private:
-  std::string cluster_key_;
+  handshake_listener handshakes_;
   entry_context& context_;
   job_service& jobs_;
-  handshake_nonces nonces_;
 };
 
 }  // namespace
--- a/libraries/target/target_gate.cc
+++ b/libraries/target/target_gate.cc
@@ -2,9 +2,7 @@
 
 #include <utility>
 
-#include "rpc/handshake.h"
-#include "rpc/handshake_nonces.h"
-#include "rpc/require.h"
+#include "rpc/handshake_listener.h"
 #include "rpc/wire_codec.h"
 
 namespace wagtail {
@@ -74,37 +72,31 @@
 class target_gate final : public wire::TargetGate::Server {
  public:
   target_gate(std::string cluster_key, const target_gate_hooks& hooks)
-      : cluster_key_(std::move(cluster_key)), hooks_(hooks) {}
+      : handshakes_(std::move(cluster_key)), hooks_(hooks) {}
 
  protected:
   kj::Promise<void> challenge(ChallengeContext context) override {  // NOLINT: generated name
-    context.getResults().setNonce(nonces_.Issue());
+    context.getResults().setNonce(handshakes_.Challenge());
     return kj::READY_NOW;
   }
 
   kj::Promise<void> enter(EnterContext context) override {  // NOLINT: generated name
     auto params = context.getParams();
-    uint64_t nonce = params.getListenerNonce();
-    uint64_t caller = params.getCallerNonce();
-    bool is_proven =
-        nonces_.Redeem(nonce) && IsHandshakeProof(ToText(params.getProof()), cluster_key_,
-                                                  handshake_side::kCaller, nonce, caller);
-    Require(is_proven, "handshake refused");
+    sha256_digest proof = handshakes_.Accept(params.getListenerNonce(), params.getCallerNonce(),
+                                             ToText(params.getProof()));
     hooks_.on_enter({.nonce = params.getEntryNonce()}, params.getListener());
     target_incarnation self = hooks_.self();
     auto results = context.getResults();
     results.setSession(kj::heap<target_session>(hooks_));
     results.setTarget(ToWireText(self.target));
     results.setIncarnation(self.number);
-    results.setProof(
-        ToData(HandshakeProof(cluster_key_, handshake_side::kListener, nonce, caller)));
+    results.setProof(ToData(proof));
     return kj::READY_NOW;
   }
 
  private:
-  std::string cluster_key_;
+  handshake_listener handshakes_;
   const target_gate_hooks& hooks_;
-  handshake_nonces nonces_;
 };
 
 }  // namespace
