--- /dev/null
+++ b/libraries/async_http/async_http_client.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <kj/compat/http.h>
+
+#include <functional>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "base/time.h"
+#include "http/http_message.h"
+#include "rpc/event_loop.h"
+
+namespace wagtail {
+
+/// One request to the peer of a client.
+struct async_http_call {
+  kj::HttpMethod method = kj::HttpMethod::GET;
+  std::string target{};  ///< path and query, percent-encoded
+  http_fields headers{};
+  std::string body{};
+  duration timeout = std::chrono::seconds(1);
+};
+
+/// HTTP client of one peer on the event loop, over connections that are kept open and reused. Used
+/// on the loop's thread only. A request that gets no answer in time takes its connection with it,
+/// so that the next one goes over another.
+class async_http_client {
+ public:
+  /// Takes the answer whatever its status code, or http_error::kNoAnswer: the request may have
+  /// arrived.
+  using answer_hook = std::function<void(absl::StatusOr<http_response>)>;
+
+  /// @param peer IP:PORT; anything else makes every call fail
+  async_http_client(event_loop& loop, const std::string& peer);
+  ~async_http_client();
+
+  const std::string& peer() const { return peer_; }
+  void Call(const async_http_call& call, answer_hook answer);
+
+ private:
+  kj::Promise<http_response> Exchange(const async_http_call& call);
+
+  event_loop& loop_;
+  std::string peer_;
+  kj::HttpHeaderTable table_;
+  kj::Own<kj::NetworkAddress> address_;
+  kj::Own<kj::HttpClient> client_;
+};
+
+}  // namespace wagtail
--- a/libraries/base/time.h
+++ b/libraries/base/time.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -21,6 +23,15 @@
   return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
 }
 
+/// @return the present on a monotonic clock that goes on while the VM is suspended; leases and
+///   silence limits are measured on it
+inline instant BootTimeNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  auto since_boot = std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return instant(std::chrono::duration_cast<duration>(since_boot));
+}
+
 /// @return whole milliseconds of `span`
 constexpr int64_t ToMilliseconds(duration span) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
--- /dev/null
+++ b/libraries/board/job_board.cc
@@ -0,0 +1,446 @@
+#include "board/job_board.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "leases/target_clock.h"
+
+namespace wagtail::leased {
+namespace {
+
+duration Scaled(duration span, double factor) {
+  return duration(static_cast<int64_t>(static_cast<double>(span.count()) * factor));
+}
+
+}  // namespace
+
+job_board::job_board(job_board_options options, order_hook order, withdraw_hook withdraw,
+                     answer_hook answer, note_hook note)
+    : options_(options),
+      order_(std::move(order)),
+      withdraw_(std::move(withdraw)),
+      answer_(std::move(answer)),
+      note_(std::move(note)),
+      targets_(options.targets) {}
+
+void job_board::Submit(job_serial serial, job_submission submission, instant now) {
+  auto known = jobs_.find(submission.id);
+  if (known != jobs_.end()) {
+    known->second.requests.push_back(serial);
+    requests_[serial] = submission.id;
+    Note("job_joined", submission.id, "");
+    return;
+  }
+  job added;
+  added.arrived = now;
+  added.deadline = now + submission.deadline - options_.answer_margin;
+  added.submission = std::move(submission);
+  for (const job_step& spec : added.submission.steps) {
+    added.steps.push_back({.spec = spec, .tasks = std::vector<task>(spec.count)});
+  }
+  added.longest = Longest(added);
+  const queue_plan& queue = added.submission.queue;
+  added.objective = now + Scaled(added.longest, queue.stretch) + queue.allowance;
+  std::optional<job_answer> refusal = Refusal(added, now);
+  if (refusal.has_value()) {
+    answer_(serial, *refusal);
+    return;
+  }
+  added.requests.push_back(serial);
+  std::string id = added.submission.id;
+  requests_[serial] = id;
+  Release(jobs_.emplace(std::move(id), std::move(added)).first->second);
+}
+
+std::optional<job_answer> job_board::Refusal(const job& candidate, instant now) const {
+  auto refuse = [this](std::string reason, duration wait) {
+    return job_answer{
+        .outcome = job_outcome::kRefused,
+        .reason = std::move(reason),
+        .retry_after = std::clamp(wait, options_.shortest_retry, options_.longest_retry)};
+  };
+  if (jobs_.size() >= options_.most_jobs) {
+    return refuse("too_many_jobs", options_.shortest_retry);
+  }
+  for (const step& each : candidate.steps) {
+    target_table::need wanted{.service = candidate.submission.queue.service,
+                              .room = each.spec.room,
+                              .estimate = each.spec.estimate};
+    if (!targets_.CouldHold(wanted, now)) {
+      return refuse("no_target", options_.shortest_retry);
+    }
+  }
+  duration wait = ExpectedWait(candidate, now);
+  if (now + wait > LatestStart(candidate, now)) {
+    return refuse("overload", wait);
+  }
+  return std::nullopt;
+}
+
+duration job_board::ExpectedWait(const job& candidate, instant now) const {
+  double share = targets_.ShareOfCapacity(candidate.submission.queue.service, now);
+  if (share <= 0) {
+    return options_.longest_retry;
+  }
+  instant own_start = LatestStart(candidate, now);
+  double work = 0;  // thousandths of a core times microseconds
+  for (const auto& [id, other] : jobs_) {
+    if (other.submission.queue.service != candidate.submission.queue.service ||
+        LatestStart(other, now) > own_start) {
+      continue;
+    }
+    for (const step& each : other.steps) {
+      auto waiting = std::ranges::count(each.tasks, task_state::kWaiting, &task::state);
+      work += static_cast<double>(waiting) * static_cast<double>(each.spec.room.cpu) *
+              static_cast<double>(each.spec.estimate.count());
+    }
+  }
+  return duration(static_cast<int64_t>(work / share));
+}
+
+duration job_board::Longest(const job& candidate) const {
+  std::vector<duration> ends(candidate.steps.size());
+  duration longest{0};
+  for (size_t number = 0; number < candidate.steps.size(); ++number) {
+    const step& each = candidate.steps[number];
+    duration begin{0};
+    for (uint32_t before : each.spec.after) {
+      begin = std::max(begin, ends[before]);
+    }
+    bool over = each.done == each.tasks.size() && !each.tasks.empty();
+    ends[number] = begin + (over ? duration::zero() : each.spec.estimate);
+    longest = std::max(longest, ends[number]);
+  }
+  return longest;
+}
+
+instant job_board::LatestStart(const job& candidate, instant now) const {
+  target_table::need wanted{.service = candidate.submission.queue.service,
+                            .room = {},
+                            .estimate = candidate.longest};
+  duration run = targets_.BestRun(wanted, now).value_or(candidate.longest);
+  return candidate.objective - run - options_.round_trip;
+}
+
+void job_board::Release(job& owner) {
+  for (step& each : owner.steps) {
+    bool ready = std::ranges::all_of(each.spec.after, [&](uint32_t before) {
+      return owner.steps[before].done == owner.steps[before].tasks.size();
+    });
+    if (!ready) {
+      continue;
+    }
+    for (task& item : each.tasks) {
+      if (item.state == task_state::kBlocked) {
+        item.state = task_state::kWaiting;
+      }
+    }
+  }
+}
+
+void job_board::CallerGone(job_serial serial, instant now) {
+  auto request = requests_.find(serial);
+  if (request == requests_.end()) {
+    return;
+  }
+  std::string id = request->second;
+  requests_.erase(request);
+  job& owner = jobs_.at(id);
+  std::erase(owner.requests, serial);
+  if (owner.requests.empty()) {
+    Note("caller_gone", id, "");
+    Answer(id, {.outcome = job_outcome::kCancelled, .reason = "caller_gone"}, now);
+  }
+}
+
+bool job_board::Cancel(std::string_view id, instant now) {
+  std::string key(id);
+  if (!jobs_.contains(key)) {
+    return false;
+  }
+  Answer(key, {.outcome = job_outcome::kCancelled, .reason = "cancelled"}, now);
+  return true;
+}
+
+void job_board::Opened(session_id session, const agent_identity& agent, instant now) {
+  targets_.Opened(session, agent, now);
+}
+
+void job_board::Reported(session_id session, const session_report& report, instant now) {
+  targets_.Reported(session, report, now);
+  const agent_identity* agent = targets_.Agent(session);
+  if (report.settled && agent != nullptr) {
+    SettleAgent(agent->address, now, true);
+  }
+}
+
+void job_board::SettleAgent(const std::string& address, instant now, bool at_once) {
+  for (auto& [id, owner] : jobs_) {
+    for (step& each : owner.steps) {
+      for (task& item : each.tasks) {
+        bool over = item.state == task_state::kUnsettled &&
+                    ((at_once && item.agent == address) || item.safe_at <= now);
+        if (over) {
+          item.state = task_state::kWaiting;
+          Note("task_settled", id, item.agent);
+        }
+      }
+    }
+  }
+}
+
+job_board::task& job_board::TaskAt(job& owner, const order_place& place) {
+  return owner.steps[place.step].tasks[place.index];
+}
+
+void job_board::Result(const run_result& result, instant now) {
+  auto found = orders_.find(result.order);
+  if (found == orders_.end()) {
+    return;
+  }
+  order_place place = found->second;
+  orders_.erase(found);
+  auto owner_entry = jobs_.find(place.job);
+  if (owner_entry == jobs_.end()) {
+    return;
+  }
+  job& owner = owner_entry->second;
+  task& item = TaskAt(owner, place);
+  item.next_run = std::max(item.next_run, result.run + 1);
+  if (result.outcome != run_outcome::kNotStarted) {
+    owner.started = true;
+  }
+  switch (result.outcome) {
+    case run_outcome::kDone:
+      item.state = task_state::kDone;
+      ++owner.steps[place.step].done;
+      owner.longest = Longest(owner);
+      if (NothingLeft(owner)) {
+        Answer(place.job, {.outcome = job_outcome::kCompleted}, now);
+      } else {
+        Release(owner);
+      }
+      return;
+    case run_outcome::kFailed:
+      TaskFailed(owner, item, item.agent, now);
+      return;
+    case run_outcome::kNotStarted:
+      item.next_run = result.run == 0 ? item.next_run : result.run;
+      if (result.reason != "no_room") {
+        item.avoided.push_back(item.agent);
+      }
+      item.state = task_state::kWaiting;
+      return;
+    case run_outcome::kStopped:
+    case run_outcome::kLost:
+      item.state = task_state::kWaiting;
+      return;
+  }
+}
+
+void job_board::TaskFailed(job& owner, task& failed, const std::string& agent, instant now) {
+  ++failed.failures;
+  failed.avoided.push_back(agent);
+  failed.state = task_state::kWaiting;
+  if (failed.failures >= owner.submission.queue.max_attempts) {
+    std::string id = owner.submission.id;
+    Answer(id, {.outcome = job_outcome::kFailed, .reason = "attempts_used"}, now);
+  }
+}
+
+bool job_board::NothingLeft(const job& owner) {
+  return std::ranges::all_of(owner.steps,
+                             [](const step& each) { return each.done == each.tasks.size(); });
+}
+
+void job_board::Closed(session_id session, instant now) {
+  const agent_identity* agent = targets_.Agent(session);
+  if (agent == nullptr) {
+    return;
+  }
+  instant heard = targets_.LastHeard(session).value_or(now);
+  instant safe_at = heard + options_.vouch + Scaled(options_.lease, 1 + target_clock::kMaxDrift) +
+                    options_.lease_slack;
+  targets_.Closed(session);
+  for (auto& [id, owner] : jobs_) {
+    for (step& each : owner.steps) {
+      for (task& item : each.tasks) {
+        if (item.state != task_state::kPlaced || item.session != session) {
+          continue;
+        }
+        orders_.erase(item.order);
+        item.state = task_state::kUnsettled;
+        item.safe_at = safe_at;
+        ++item.next_run;
+        owner.started = true;
+        Note("task_unsettled", id, item.agent);
+      }
+    }
+  }
+}
+
+std::vector<session_id> job_board::TakeSilent(instant now) {
+  return targets_.Silent(options_.silence_limit, now);
+}
+
+void job_board::Tick(instant now) {
+  SettleAgent("", now, false);
+  std::vector<std::pair<std::string, job_answer>> ended;
+  for (auto& [id, owner] : jobs_) {
+    bool idle = std::ranges::none_of(owner.steps, [](const step& each) {
+      return std::ranges::any_of(each.tasks, [](const task& item) {
+        return item.state == task_state::kPlaced || item.state == task_state::kUnsettled ||
+               item.state == task_state::kDone;
+      });
+    });
+    bool untouched = idle && !owner.started;
+    if (now >= owner.deadline) {
+      ended.emplace_back(
+          id, untouched ? job_answer{.outcome = job_outcome::kRefused,
+                                     .reason = "deadline",
+                                     .retry_after = options_.shortest_retry}
+                        : job_answer{.outcome = job_outcome::kAbandoned, .reason = "deadline"});
+    } else if (untouched && now > LatestStart(owner, now)) {
+      ended.emplace_back(id, job_answer{.outcome = job_outcome::kRefused,
+                                        .reason = "objective_out_of_reach",
+                                        .retry_after = options_.shortest_retry});
+    }
+  }
+  for (const auto& [id, answer] : ended) {
+    Answer(id, answer, now);
+  }
+}
+
+size_t job_board::waiting_tasks() const {
+  size_t waiting = 0;
+  for (const auto& [id, owner] : jobs_) {
+    for (const step& each : owner.steps) {
+      waiting += static_cast<size_t>(
+          std::ranges::count(each.tasks, task_state::kWaiting, &task::state));
+    }
+  }
+  return waiting;
+}
+
+void job_board::Place(instant now) {
+  struct waiting_job {
+    instant latest_start;
+    unsigned priority = 0;
+    job* owner = nullptr;
+  };
+  std::vector<waiting_job> waiting;
+  for (auto& [id, owner] : jobs_) {
+    bool has_waiting = std::ranges::any_of(owner.steps, [](const step& each) {
+      return std::ranges::find(each.tasks, task_state::kWaiting, &task::state) != each.tasks.end();
+    });
+    if (has_waiting) {
+      waiting.push_back({.latest_start = LatestStart(owner, now),
+                         .priority = owner.submission.queue.priority,
+                         .owner = &owner});
+    }
+  }
+  std::ranges::sort(waiting, {}, [](const waiting_job& item) {
+    return std::tuple(item.latest_start, item.priority, item.owner->submission.id);
+  });
+  bool room_left = true;
+  for (const waiting_job& item : waiting) {
+    if (!room_left) {
+      break;
+    }
+    PlaceJob(*item.owner, now, room_left);
+  }
+}
+
+void job_board::PlaceJob(job& owner, instant now, bool& room_left) {
+  std::map<session_id, order_batch> batches;
+  for (uint32_t number = 0; number < owner.steps.size(); ++number) {
+    step& each = owner.steps[number];
+    for (uint32_t index = 0; index < each.tasks.size(); ++index) {
+      if (each.tasks[index].state != task_state::kWaiting) {
+        continue;
+      }
+      order_batch single;
+      if (!PlaceTask(owner, number, index, single, now)) {
+        room_left = false;
+        break;
+      }
+      order_batch& batch = batches[single.session];
+      if (batch.orders.empty()) {
+        batch = std::move(single);
+      } else {
+        batch.orders.push_back(single.orders.front());
+      }
+    }
+  }
+  for (auto& [session, batch] : batches) {
+    order_(std::move(batch));
+  }
+}
+
+bool job_board::PlaceTask(job& owner, uint32_t step_number, uint32_t index, order_batch& batch,
+                          instant now) {
+  step& each = owner.steps[step_number];
+  task& item = each.tasks[index];
+  target_table::need wanted{.service = owner.submission.queue.service,
+                            .room = each.spec.room,
+                            .estimate = each.spec.estimate,
+                            .avoided = &item.avoided};
+  std::optional<target_table::choice> chosen = targets_.Choose(wanted, now);
+  if (!chosen.has_value() && !item.avoided.empty()) {
+    wanted.avoided = nullptr;
+    chosen = targets_.Choose(wanted, now);
+  }
+  if (!chosen.has_value()) {
+    return false;
+  }
+  uint64_t order = next_order_++;
+  item.state = task_state::kPlaced;
+  item.order = order;
+  item.session = chosen->session;
+  item.agent = targets_.Agent(chosen->session)->address;
+  orders_[order] = {.job = owner.submission.id, .step = step_number, .index = index};
+  targets_.Ordered(chosen->session, order, each.spec.room, now);
+  batch.session = chosen->session;
+  batch.text = owner.submission.text;
+  batch.job = owner.submission.id;
+  batch.priority = owner.submission.queue.priority;
+  batch.orders.push_back(
+      {.order = order,
+       .task = {.job = owner.submission.id, .step = step_number, .index = index},
+       .run = item.next_run,
+       .room = each.spec.room,
+       .estimate = each.spec.estimate,
+       .latest_start = std::max(LatestStart(owner, now) - now, duration::zero()),
+       .max_wait = options_.agent_wait});
+  return true;
+}
+
+void job_board::WithdrawAll(job& owner) {
+  for (step& each : owner.steps) {
+    for (task& item : each.tasks) {
+      if (item.state == task_state::kPlaced) {
+        orders_.erase(item.order);
+        withdraw_(item.session, item.order);
+      }
+    }
+  }
+}
+
+void job_board::Answer(const std::string& id, const job_answer& answer, instant now) {
+  auto found = jobs_.find(id);
+  job owner = std::move(found->second);
+  jobs_.erase(found);
+  WithdrawAll(owner);
+  Note("job_ended", owner.submission.id,
+       answer.reason + " after " + std::to_string(ToMilliseconds(now - owner.arrived)) + " ms");
+  for (job_serial serial : owner.requests) {
+    requests_.erase(serial);
+    answer_(serial, answer);
+  }
+}
+
+void job_board::Note(std::string_view fact, std::string_view job, std::string detail) const {
+  note_({.fact = fact, .job = job, .detail = std::move(detail)});
+}
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/libraries/board/job_board.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "board/board_events.h"
+#include "board/target_table.h"
+
+namespace wagtail::leased {
+
+struct job_board_options {
+  target_table_options targets{};
+  /// As in run_keeper_options: how long an answer to a report vouches for runs.
+  duration vouch = std::chrono::milliseconds(450);
+  /// As in run_keeper_options: the length of a target's lease.
+  duration lease = std::chrono::milliseconds(600);
+  /// Added to a lease by the slowest clock of a target, and for the stop itself.
+  duration lease_slack = std::chrono::milliseconds(50);
+  /// An agent that is not heard for this long is given up.
+  duration silence_limit = std::chrono::milliseconds(600);
+  /// A job is answered this long before its caller stops waiting.
+  duration answer_margin = std::chrono::milliseconds(30);
+  /// How long an agent may let a task wait for room before it gives it back.
+  duration agent_wait = std::chrono::milliseconds(60);
+  /// Way there and back between an entry and a target.
+  duration round_trip = std::chrono::milliseconds(6);
+  /// Longest and shortest time after which a refused caller is asked to come back.
+  duration shortest_retry = std::chrono::seconds(1);
+  duration longest_retry = std::chrono::seconds(10);
+  /// Jobs past their objective are given up when they have waited this many times their objective.
+  double late_limit = 3;
+  /// Largest number of jobs held.
+  size_t most_jobs = 4000;
+};
+
+/// Decides over the jobs of one entry: admits or refuses them, hands their tasks to targets' agents
+/// in order of the latest start that meets the objective, tries failed and lost tasks again, and
+/// gives each request one answer. Answers overload by refusing at once what could not be done in
+/// time, rather than by making everything late. Free of sockets, threads and clocks.
+class job_board {
+ public:
+  using order_hook = std::function<void(order_batch)>;
+  using withdraw_hook = std::function<void(session_id, uint64_t order)>;
+  using answer_hook = std::function<void(job_serial, const job_answer&)>;
+  using note_hook = std::function<void(const board_note&)>;
+
+  job_board(job_board_options options, order_hook order, withdraw_hook withdraw,
+            answer_hook answer, note_hook note);
+
+  /// Takes a request; it is answered through the answer hook, perhaps before this returns.
+  void Submit(job_serial serial, job_submission submission, instant now);
+  /// The caller of this request is gone.
+  void CallerGone(job_serial serial, instant now);
+  /// The caller wants the job ended.
+  /// @return whether this board has it
+  bool Cancel(std::string_view job, instant now);
+
+  void Plan(const operating_plan& plan) { targets_.Plan(plan); }
+  void Opened(session_id session, const agent_identity& agent, instant now);
+  void Reported(session_id session, const session_report& report, instant now);
+  void Result(const run_result& result, instant now);
+  /// The connection is gone.
+  void Closed(session_id session, instant now);
+  /// Passes time: deadlines, silent agents, tasks that may be placed again. To be called every few
+  /// milliseconds.
+  void Tick(instant now);
+  /// Hands out what can be handed out. To be called after a batch of events.
+  void Place(instant now);
+
+  /// @return sessions to close since their agents have been silent for too long
+  std::vector<session_id> TakeSilent(instant now);
+  size_t jobs() const { return jobs_.size(); }
+  bool Knows(const std::string& job) const { return jobs_.contains(job); }
+  size_t targets_in_use(instant now) const { return targets_.InUse(now); }
+  size_t waiting_tasks() const;
+
+ private:
+  enum class task_state { kBlocked, kWaiting, kPlaced, kUnsettled, kDone };
+  struct task {
+    task_state state = task_state::kBlocked;
+    uint32_t next_run = 1;
+    unsigned failures = 0;
+    uint64_t order = 0;
+    session_id session = 0;
+    std::string agent{};  ///< address, while placed or unsettled
+    instant safe_at;      ///< while unsettled: nothing of it runs any more
+    std::vector<std::string> avoided{};
+  };
+  struct step {
+    job_step spec;
+    std::vector<task> tasks;
+    uint32_t done = 0;
+  };
+  struct job {
+    job_submission submission;
+    std::vector<job_serial> requests;
+    std::vector<step> steps;
+    instant arrived{};
+    instant objective;  ///< when it is to be done
+    instant deadline;   ///< when it is to be answered at the latest
+    duration longest{0};  ///< chain of steps, by their estimates
+    bool started = false;  ///< a target may have run something of it
+  };
+  struct order_place {
+    std::string job;
+    uint32_t step = 0;
+    uint32_t index = 0;
+  };
+  using job_map = std::unordered_map<std::string, job>;
+
+  std::optional<job_answer> Refusal(const job& candidate, instant now) const;
+  duration ExpectedWait(const job& candidate, instant now) const;
+  duration Longest(const job& candidate) const;
+  instant LatestStart(const job& candidate, instant now) const;
+  void Release(job& owner);
+  void PlaceJob(job& owner, instant now, bool& room_left);
+  bool PlaceTask(job& owner, uint32_t step_number, uint32_t index, order_batch& batch,
+                 instant now);
+  void TaskFailed(job& owner, task& failed, const std::string& agent, instant now);
+  void Answer(const std::string& id, const job_answer& answer, instant now);
+  void WithdrawAll(job& owner);
+  void SettleAgent(const std::string& address, instant now, bool at_once);
+  task& TaskAt(job& owner, const order_place& place);
+  static bool NothingLeft(const job& owner);
+  void Note(std::string_view fact, std::string_view job, std::string detail) const;
+
+  job_board_options options_;
+  order_hook order_;
+  withdraw_hook withdraw_;
+  answer_hook answer_;
+  note_hook note_;
+  target_table targets_;
+  job_map jobs_;
+  std::unordered_map<job_serial, std::string> requests_;
+  std::unordered_map<uint64_t, order_place> orders_;
+  uint64_t next_order_ = 1;
+};
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/libraries/board/target_table.cc
@@ -0,0 +1,167 @@
+#include "board/target_table.h"
+
+#include <algorithm>
+
+namespace wagtail::leased {
+namespace {
+
+/// Stands in for the mean duration of runs until a target has told one.
+constexpr duration kDefaultMeanRun = std::chrono::milliseconds(200);
+
+duration Scaled(duration span, double factor) {
+  return duration(static_cast<int64_t>(static_cast<double>(span.count()) * factor));
+}
+
+}  // namespace
+
+void target_table::Opened(session_id session, const agent_identity& agent, instant now) {
+  rows_[session] = {.agent = agent, .report = {}, .heard = now, .last_trial = {}, .unseen = {}};
+}
+
+void target_table::Reported(session_id session, const session_report& report, instant now) {
+  auto found = rows_.find(session);
+  if (found == rows_.end()) {
+    return;
+  }
+  row& target = found->second;
+  target.report = report;
+  target.heard = now;
+  std::erase_if(target.unseen, [&](const unseen_order& order) {
+    return order.order <= report.orders_seen;
+  });
+}
+
+void target_table::Closed(session_id session) { rows_.erase(session); }
+
+void target_table::Ordered(session_id session, uint64_t order, const task_room& room, instant now) {
+  auto found = rows_.find(session);
+  if (found == rows_.end()) {
+    return;
+  }
+  found->second.unseen.push_back({.order = order, .room = room});
+  if (IsFailing(found->second)) {
+    found->second.last_trial = now;
+  }
+}
+
+bool target_table::IsFailing(const row& target) const {
+  return target.report.load.failing >= options_.failing_limit;
+}
+
+bool target_table::Usable(const row& target, const need& wanted, instant now) const {
+  const target_status& load = target.report.load;
+  return load.state == target_availability::kServing && load.service == wanted.service &&
+         now - target.heard < options_.quiet_limit && load.capacity.Holds(wanted.room) &&
+         !leaving_domains_.contains(target.agent.domain);
+}
+
+task_room target_table::FreeNow(const row& target) {
+  task_room free = target.report.load.free;
+  for (const unseen_order& order : target.unseen) {
+    free -= order.room;
+  }
+  return free;
+}
+
+duration target_table::WaitAt(const row& target, const need& wanted) const {
+  const target_status& load = target.report.load;
+  task_room free = FreeNow(target);
+  free.cpu -= load.queued_cpu;
+  if (free.Holds(wanted.room)) {
+    return duration::zero();
+  }
+  duration mean = load.mean_run > duration::zero() ? load.mean_run : kDefaultMeanRun;
+  auto missing = static_cast<double>(wanted.room.cpu - free.cpu);
+  return Scaled(mean, std::max(missing, 0.0) / static_cast<double>(load.capacity.cpu));
+}
+
+std::optional<target_table::choice> target_table::Choose(const need& wanted, instant now) const {
+  std::optional<choice> best;
+  double best_score = 0;
+  for (const auto& [session, target] : rows_) {
+    if (!Usable(target, wanted, now)) {
+      continue;
+    }
+    if (IsFailing(target) && now - target.last_trial < options_.trial_pause) {
+      continue;
+    }
+    bool avoided = wanted.avoided != nullptr &&
+                   std::ranges::find(*wanted.avoided, target.agent.address) !=
+                       wanted.avoided->end();
+    if (avoided) {
+      continue;
+    }
+    duration wait = WaitAt(target, wanted);
+    if (wait > options_.queue_ahead) {
+      continue;
+    }
+    duration run = Scaled(wanted.estimate, target.report.load.slowness);
+    double used = 1 - static_cast<double>(std::max<int64_t>(FreeNow(target).cpu, 0)) /
+                          static_cast<double>(target.report.load.capacity.cpu);
+    double score = static_cast<double>(wait.count()) +
+                   static_cast<double>(run.count()) * (1 + options_.crowding * used);
+    if (!best.has_value() || score < best_score) {
+      best = {.session = session, .wait = wait, .run = run};
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+std::optional<duration> target_table::BestRun(const need& wanted, instant now) const {
+  std::optional<duration> best;
+  for (const auto& [session, target] : rows_) {
+    if (Usable(target, wanted, now)) {
+      duration run = Scaled(wanted.estimate, target.report.load.slowness);
+      best = best.has_value() ? std::min(*best, run) : run;
+    }
+  }
+  return best;
+}
+
+bool target_table::CouldHold(const need& wanted, instant now) const {
+  return std::ranges::any_of(
+      rows_, [&](const auto& item) { return Usable(item.second, wanted, now); });
+}
+
+double target_table::ShareOfCapacity(std::string_view service, instant now) const {
+  need any{.service = service, .room = {}, .estimate = {}};
+  double share = 0;
+  for (const auto& [session, target] : rows_) {
+    if (Usable(target, any, now)) {
+      share += static_cast<double>(target.report.load.capacity.cpu) /
+               std::max(1U, target.report.entries);
+    }
+  }
+  return share;
+}
+
+std::vector<session_id> target_table::Silent(duration limit, instant now) const {
+  std::vector<session_id> silent;
+  for (const auto& [session, target] : rows_) {
+    if (now - target.heard > limit) {
+      silent.push_back(session);
+    }
+  }
+  return silent;
+}
+
+const agent_identity* target_table::Agent(session_id session) const {
+  auto found = rows_.find(session);
+  return found == rows_.end() ? nullptr : &found->second.agent;
+}
+
+std::optional<instant> target_table::LastHeard(session_id session) const {
+  auto found = rows_.find(session);
+  return found == rows_.end() ? std::nullopt : std::optional(found->second.heard);
+}
+
+size_t target_table::InUse(instant now) const {
+  return static_cast<size_t>(std::ranges::count_if(rows_, [&](const auto& item) {
+    const row& target = item.second;
+    return target.report.load.state == target_availability::kServing &&
+           now - target.heard < options_.quiet_limit;
+  }));
+}
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/libraries/board/target_table.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "board/board_events.h"
+
+namespace wagtail::leased {
+
+struct target_table_options {
+  /// A target whose agent was not heard for this long gets nothing new.
+  duration quiet_limit = std::chrono::milliseconds(300);
+  /// Longest predicted wait for room at which a task is still handed to an agent.
+  duration queue_ahead = std::chrono::milliseconds(30);
+  /// Share of failed runs from which a target gets only trial tasks.
+  double failing_limit = 0.5;
+  /// Pause between trial tasks on a failing target.
+  duration trial_pause = std::chrono::milliseconds(500);
+  /// How much a full target counts as slower than an empty one.
+  double crowding = 0.3;
+};
+
+/// The targets as one entry sees them: what their agents reported, less what was ordered since.
+/// Chooses where a task goes. Answers bursts by handing out no more than targets can start soon.
+class target_table {
+ public:
+  struct choice {
+    session_id session = 0;
+    duration wait{0};  ///< predicted until the start
+    duration run{0};   ///< predicted duration
+  };
+  struct need {
+    std::string_view service;
+    task_room room;
+    duration estimate{0};
+    const std::vector<std::string>* avoided = nullptr;  ///< addresses of agents, may be null
+  };
+
+  explicit target_table(target_table_options options) : options_(options) {}
+
+  void Opened(session_id session, const agent_identity& agent, instant now);
+  void Reported(session_id session, const session_report& report, instant now);
+  void Closed(session_id session);
+  void Plan(const operating_plan& plan) { leaving_domains_ = plan.leaving_domains; }
+  /// Counts an order until the agent's load accounts for it.
+  void Ordered(session_id session, uint64_t order, const task_room& room, instant now);
+
+  /// @return the target that is expected to finish the task first, if one can start it soon
+  std::optional<choice> Choose(const need& wanted, instant now) const;
+  /// @return predicted duration on the fastest target in use, whether it has room or not
+  std::optional<duration> BestRun(const need& wanted, instant now) const;
+  /// @return whether any target in use could ever hold the task
+  bool CouldHold(const need& wanted, instant now) const;
+
+  /// @return processor capacity of the service's targets in use, in thousandths of a core,
+  ///   divided among the entries that share each of them
+  double ShareOfCapacity(std::string_view service, instant now) const;
+  /// @return sessions whose agents were not heard for `limit`
+  std::vector<session_id> Silent(duration limit, instant now) const;
+  const agent_identity* Agent(session_id session) const;
+  std::optional<instant> LastHeard(session_id session) const;
+  size_t InUse(instant now) const;
+
+ private:
+  struct unseen_order {
+    uint64_t order = 0;
+    task_room room{};
+  };
+  struct row {
+    agent_identity agent;
+    session_report report;
+    instant heard;
+    instant last_trial;
+    std::vector<unseen_order> unseen;
+  };
+
+  bool Usable(const row& target, const need& wanted, instant now) const;
+  bool IsFailing(const row& target) const;
+  static task_room FreeNow(const row& target);
+  duration WaitAt(const row& target, const need& wanted) const;
+
+  target_table_options options_;
+  std::map<session_id, row> rows_;
+  std::set<std::string> leaving_domains_;
+};
+
+}  // namespace wagtail::leased
--- a/libraries/http/http_message.h
+++ b/libraries/http/http_message.h
@@ -18,6 +18,7 @@
   http_fields query{};
   http_fields headers{};
   std::string body{};
+  int socket = -1;  ///< of the connection, for watching whether the peer is gone; -1 if unknown
 };
 
 struct http_response {
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -78,6 +78,15 @@
 
 /// With a thread per connection every callback of a request runs on that connection's thread.
 thread_local bool answering = false;
+thread_local int connection_socket = -1;
+
+/// ulfius does not hand the connection to its endpoints; this callback comes before them.
+void* OnUri(void* self, const char* uri, MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  connection_socket = info == nullptr ? -1 : info->connect_fd;
+  return ulfius_uri_logger(self, uri);
+}
 
 }  // namespace
 
@@ -130,7 +139,9 @@
     return {.status = kBodyTooLarge, .headers = {}, .body = "body too large\n"};
   }
   try {
-    return handler(RequestOf(request));
+    http_request parsed = RequestOf(request);
+    parsed.socket = connection_socket;
+    return handler(parsed);
   } catch (const std::exception&) {
     return {.status = kHandlerFailed, .headers = {}, .body = "internal error\n"};
   } catch (...) {
@@ -179,7 +190,7 @@
 
   std::array<MHD_OptionItem, 6> items{{
       {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&state::OnCompleted), this},
-      {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&ulfius_uri_logger), nullptr},
+      {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&OnUri), nullptr},
       {MHD_OPTION_SOCK_ADDR, 0, &address},
       {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options.max_connections), nullptr},
       {MHD_OPTION_CONNECTION_TIMEOUT, kIdleConnectionSeconds, nullptr},
--- /dev/null
+++ b/libraries/leases/run_keeper.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "leases/run_events.h"
+#include "leases/run_speed.h"
+#include "leases/target_clock.h"
+#include "plan/operating_plan.h"
+
+namespace wagtail::leased {
+
+/// Limits of a run keeper.
+struct run_keeper_options {
+  /// Length of the lease that everything on the target holds.
+  duration lease = std::chrono::milliseconds(600);
+  /// How long a renewal waits at the target for an end.
+  duration renew_wait = std::chrono::milliseconds(150);
+  /// How long an entry's answer to a report vouches for its runs, from when the report was sent.
+  duration vouch = std::chrono::milliseconds(450);
+  /// A stop that is not confirmed is asked for again after this.
+  duration stop_retry = std::chrono::milliseconds(150);
+  /// Leases are no longer renewed once a stop has not been confirmed for this long.
+  duration stop_limit = std::chrono::milliseconds(300);
+  /// A failed renewal is tried again after this.
+  duration renew_retry = std::chrono::milliseconds(50);
+  /// Renewals that fail one after the other before the target counts as unreachable.
+  unsigned failures_to_absent = 2;
+  /// First fence; must be higher than that of every earlier agent of this VM.
+  uint64_t fence = 1;
+};
+
+/// Decides what one target runs: admits orders into its room, queues a few, keeps the lease, makes
+/// late starts void and tells what became of every order. Answers overload by queueing for a short
+/// while in order of priority and latest start, and by refusing the rest at once. Free of sockets,
+/// threads and clocks.
+///
+/// A run goes on only while the entry that ordered it vouches for it. A lease covers everything on
+/// the target; it is not renewed while a run that should be gone may still be there.
+class run_keeper {
+ public:
+  using call_hook = std::function<void(target_call)>;
+  using result_hook = std::function<void(run_result)>;
+  using note_hook = std::function<void(const keeper_note&)>;
+
+  /// @param call carries out a call to the target
+  /// @param result takes the final word on an order
+  /// @param note takes decisions for the log
+  run_keeper(run_keeper_options options, call_hook call, result_hook result, note_hook note);
+
+  /// The target announced itself, again or anew.
+  void Announced(const target_announcement& announcement, instant now);
+  /// The target said that it ends.
+  void Departed(const std::string& id, instant now);
+  /// Operators' plan as it stands.
+  void Plan(const operating_plan& plan, instant now);
+
+  /// A new session of an entry that answered at once.
+  void Opened(session_id session, instant sent);
+  /// The entry answered a report that was sent at `sent`.
+  void Vouched(session_id session, instant sent);
+  /// The session is over; its runs are stopped.
+  void Closed(session_id session, instant now);
+
+  void Order(run_order order, instant now);
+  /// The entry no longer wants this order carried out.
+  void Withdraw(session_id session, uint64_t order, instant now);
+  /// The process is about to end: nothing new is started, what runs goes on.
+  void Leave(instant now);
+
+  void StartAnswered(uint64_t serial, start_answer answer, std::optional<int64_t> clock_ms,
+                     instant now);
+  void RenewAnswered(uint64_t serial, const target_report& report, instant now);
+  void RenewFailed(uint64_t serial, renew_failure failure, instant now);
+  /// To be called every few milliseconds.
+  void Tick(instant now);
+
+  /// @return what entries are to know
+  target_status Load() const;
+  /// @return whether nothing that was ordered in a closed session can run any more
+  bool Settled() const;
+  /// @return orders without a final word
+  size_t size() const { return runs_.size(); }
+  /// @return whether the target is known, reachable and free of unknown runs
+  bool Ready() const;
+
+ private:
+  enum class run_state {
+    kQueued,
+    kStarting,  ///< asked for, not answered
+    kDoubtful,  ///< no answer: waits for the fence to make it void
+    kRunning,
+    kStopping,  ///< stop asked for, its end is not listed yet
+  };
+  struct run {
+    run_order order;
+    uint32_t number = 0;
+    run_state state = run_state::kQueued;
+    instant arrived{};
+    instant started{};
+    uint64_t fence = 0;  ///< that the start carried
+    uint64_t renewals_before = 0;  ///< serial of the newest renewal when the start was answered
+    instant stop_asked{};
+    instant first_stop{};
+    bool unwanted = false;  ///< its entry is gone or gave it up
+    std::string reason{};   ///< why it is unwanted
+  };
+  struct life {
+    target_announcement announced;
+    bool reached = false;   ///< answered a renewal with the present fence
+    bool taken_over = false;  ///< nothing of earlier agents runs there
+    unsigned failures = 0;
+    uint64_t last_end = 0;
+  };
+
+  using run_map = std::map<uint64_t, run>;
+
+  void BeginLife(const target_announcement& announcement, instant now);
+  void EndLife(std::string_view reason);
+  bool MayStart() const;
+  bool StopOverdue(instant now) const;
+  bool TaskIsLive(const run& candidate) const;
+  task_room Free() const;
+
+  void StartWhatFits(instant now);
+  void Start(uint64_t serial, run& entry, instant now);
+  void Stop(uint64_t serial, run& entry, std::string reason, instant now);
+  void AskStop(uint64_t serial, run& entry, instant now);
+  void RefuseWaiting(instant now);
+  void RetryStops(instant now);
+  void RaiseFence(instant now);
+  void Renew(duration wait, instant now);
+  std::optional<int64_t> NextLease(instant now);
+  void TakeEnds(const target_report& report, instant now);
+  void TakeRunning(uint64_t serial, uint64_t fence, const target_report& report, instant now);
+  void CheckLapse(instant now);
+  void Finish(run_map::iterator entry, run_outcome outcome, std::string reason, instant now);
+  void EndSession(session_id session, const std::string& reason, instant now);
+  run_map::iterator Find(const task_ref& task, uint32_t number);
+  void Note(std::string_view fact, const run& about, std::string detail) const;
+
+  run_keeper_options options_;
+  call_hook call_;
+  result_hook result_;
+  note_hook note_;
+
+  std::optional<life> life_;
+  std::string domain_;
+  target_clock clock_;
+  run_speed speed_;
+  run_map runs_;
+  std::map<session_id, instant> sessions_;  ///< until when each is vouched for
+  std::set<std::string> leaving_domains_;
+  uint64_t fence_;
+  uint64_t next_serial_ = 1;
+  /// Renewals without an answer, by serial: the fence they carried.
+  std::map<uint64_t, uint64_t> renewals_;
+  instant next_renewal_{};
+  std::optional<instant> lapse_by_;  ///< no lease that was given reaches past this
+  bool leaving_ = false;
+};
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/libraries/session/entry_links.cc
@@ -0,0 +1,286 @@
+#include "session/entry_links.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "logging/logging.h"
+#include "rpc/batching_stream.h"
+#include "session/session_codec.h"
+
+namespace wagtail::leased {
+
+/// One entry, with a connection to it or without.
+struct entry_links::link {
+  std::string address;
+  instant named{};             ///< when somebody last named the entry
+  instant next_try{};
+  duration retry{};
+  bool dialing = false;
+  session_id session = 0;      ///< 0: no open session
+  uint64_t attempt = 0;        ///< tells callbacks of earlier connections apart
+  kj::Own<kj::AsyncIoStream> stream{};
+  kj::Own<capnp::TwoPartyClient> client{};
+  kj::Maybe<session_wire::Session::Client> remote{};
+  instant answered{};
+  instant last_report{};
+  uint64_t plan_known = 0;     ///< revision that the entry is known to have
+  uint64_t orders_seen = 0;
+  bool load_changed = false;
+  std::vector<run_result> results{};
+};
+
+/// Receives the orders of one session.
+class entry_links::agent_server final : public session_wire::Agent::Server {
+ public:
+  agent_server(std::shared_ptr<entry_links*> owner, session_id session)
+      : owner_(std::move(owner)), session_(session) {}
+
+  kj::Promise<void> order(OrderContext context) override {
+    if (*owner_ != nullptr) {
+      (*owner_)->Receive(session_, context.getParams());
+    }
+    return kj::READY_NOW;
+  }
+
+ private:
+  std::shared_ptr<entry_links*> owner_;
+  session_id session_;
+};
+
+entry_links::entry_links(event_loop& loop, agent_identity self, entry_links_options options,
+                         hooks hooks)
+    : loop_(loop),
+      self_(std::move(self)),
+      options_(options),
+      hooks_(std::move(hooks)),
+      alive_(std::make_shared<entry_links*>(this)) {}
+
+entry_links::~entry_links() { *alive_ = nullptr; }
+
+void entry_links::Know(const std::string& address) {
+  std::unique_ptr<link>& known = links_[address];
+  if (known == nullptr) {
+    known = std::make_unique<link>();
+    known->address = address;
+    known->retry = options_.first_retry;
+    LogFact(log_level::kInfo, "entry_learned", {{"entry", address}});
+  }
+  known->named = hooks_.now();
+}
+
+void entry_links::Result(const run_result& result) {
+  for (auto& [address, each] : links_) {
+    if (each->session == result.session) {
+      each->results.push_back(result);
+    }
+  }
+}
+
+std::vector<std::string> entry_links::Open() const {
+  std::vector<std::string> open;
+  for (const auto& [address, each] : links_) {
+    if (each->session != 0) {
+      open.push_back(address);
+    }
+  }
+  return open;
+}
+
+void entry_links::Dial(link& target) {
+  target.dialing = true;
+  uint64_t attempt = ++target.attempt;
+  auto owner = alive_;
+  auto current = [owner, attempt, address = target.address]() -> link* {
+    if (*owner == nullptr) {
+      return nullptr;
+    }
+    auto found = (*owner)->links_.find(address);
+    bool valid = found != (*owner)->links_.end() && found->second->attempt == attempt;
+    return valid ? found->second.get() : nullptr;
+  };
+  auto connecting =
+      loop_.provider()
+          .getNetwork()
+          .parseAddress(target.address)
+          .then([](kj::Own<kj::NetworkAddress> where) {
+            auto connected = where->connect();
+            return connected.attach(kj::mv(where));
+          })
+          .then([owner, current](kj::Own<kj::AsyncIoStream> stream) -> kj::Promise<void> {
+            link* each = current();
+            if (each == nullptr) {
+              return kj::READY_NOW;
+            }
+            each->stream = Batching(kj::mv(stream));
+            each->client = kj::heap<capnp::TwoPartyClient>(*each->stream);
+            session_id session = (*owner)->next_session_++;
+            instant sent = (*owner)->hooks_.now();
+            auto entry = each->client->bootstrap().castAs<session_wire::Entry>();
+            auto request = entry.joinRequest();
+            Write((*owner)->self_, request.initHello());
+            request.setAgent(kj::heap<agent_server>(owner, session));
+            return request.send().then([owner, current, session, sent](auto&& response) {
+              link* joined = current();
+              if (joined != nullptr) {
+                joined->remote = response.getSession();
+                (*owner)->Joined(*joined, session, sent);
+              }
+            });
+          });
+  auto limited = loop_.timer().timeoutAfter(
+      options_.connect_limit.count() * kj::MICROSECONDS, kj::mv(connecting));
+  loop_.Detach(kj::mv(limited), [owner, current](kj::Exception&& error) {
+    link* each = current();
+    if (each != nullptr) {
+      (*owner)->Drop(*each, error.getDescription().cStr());
+    }
+  });
+}
+
+void entry_links::Joined(link& target, session_id session, instant sent) {
+  target.dialing = false;
+  target.session = session;
+  target.retry = options_.first_retry;
+  target.answered = hooks_.now();
+  target.plan_known = 0;
+  target.orders_seen = 0;
+  target.results.clear();
+  LogFact(log_level::kInfo, "entry_joined", {{"entry", target.address}, {"session", session}});
+  hooks_.opened(session, sent);
+  Send(target, hooks_.now());
+}
+
+void entry_links::Drop(link& target, const std::string& why) {
+  instant now = hooks_.now();
+  session_id session = std::exchange(target.session, 0);
+  LogFact(session == 0 ? log_level::kDebug : log_level::kWarning, "entry_link_lost",
+          {{"entry", target.address}, {"session", session}, {"why", why}});
+  target.dialing = false;
+  ++target.attempt;
+  target.remote = nullptr;
+  target.client = nullptr;
+  target.stream = nullptr;
+  target.results.clear();
+  target.next_try = now + target.retry;
+  target.retry = std::min(target.retry * 2, options_.longest_retry);
+  if (session != 0) {
+    hooks_.closed(session);
+  }
+}
+
+void entry_links::Flush(bool load_changed) {
+  instant now = hooks_.now();
+  std::vector<std::string> forgotten;
+  for (auto& [address, each] : links_) {
+    if (each->session == 0) {
+      if (each->dialing || each->next_try > now) {
+        continue;
+      }
+      if (now - each->named > options_.forget_after) {
+        forgotten.push_back(address);
+      } else {
+        Dial(*each);
+      }
+      continue;
+    }
+    if (now - each->answered > options_.silence_limit) {
+      Drop(*each, "silent");
+      continue;
+    }
+    each->load_changed |= load_changed;
+    duration since = now - each->last_report;
+    bool due = !each->results.empty() || since >= options_.report_interval ||
+               (each->load_changed && since >= options_.load_interval);
+    if (due) {
+      Send(*each, now);
+    }
+  }
+  for (const std::string& address : forgotten) {
+    links_.erase(address);
+  }
+}
+
+void entry_links::Send(link& target, instant now) {
+  KJ_IF_MAYBE(remote, target.remote) {
+    auto request = remote->reportRequest();
+    auto report = request.initReport();
+    session_report load{.load = hooks_.load(),
+                        .entries = static_cast<unsigned>(Open().size()),
+                        .orders_seen = target.orders_seen,
+                        .settled = hooks_.settled()};
+    Write(load, report.initLoad());
+    auto results = report.initResults(static_cast<unsigned>(target.results.size()));
+    for (unsigned index = 0; index < results.size(); ++index) {
+      Write(target.results[index], results[index]);
+    }
+    const operating_plan& plan = hooks_.plan();
+    report.setPlanRevision(plan.revision);
+    if (plan.revision > target.plan_known) {
+      target.plan_known = plan.revision;
+      Write(plan, report.initPlan());
+    }
+    std::vector<std::string> open = Open();
+    Write(open, report.initOtherEntries(static_cast<unsigned>(open.size())));
+    target.results.clear();
+    target.load_changed = false;
+    target.last_report = now;
+    auto owner = alive_;
+    uint64_t attempt = target.attempt;
+    auto sent = request.send().then(
+        [owner, now, attempt, address = target.address, session = target.session](auto&& response) {
+          if (*owner == nullptr) {
+            return;
+          }
+          auto found = (*owner)->links_.find(address);
+          if (found != (*owner)->links_.end() && found->second->attempt == attempt) {
+            (*owner)->Answered(*found->second, session, now, response.getReply());
+          }
+        });
+    loop_.Detach(kj::mv(sent), [owner, attempt, address = target.address](kj::Exception&& error) {
+      if (*owner == nullptr) {
+        return;
+      }
+      auto found = (*owner)->links_.find(address);
+      if (found != (*owner)->links_.end() && found->second->attempt == attempt) {
+        (*owner)->Drop(*found->second, error.getDescription().cStr());
+      }
+    });
+  }
+}
+
+void entry_links::Answered(link& target, session_id session, instant sent,
+                           session_wire::Reply::Reader reply) {
+  target.answered = hooks_.now();
+  target.named = target.answered;
+  target.plan_known = std::max(target.plan_known, reply.getPlanRevision());
+  hooks_.vouched(session, sent);
+  for (const std::string& address : Read(reply.getOtherEntries())) {
+    Know(address);
+  }
+  if (reply.hasPlan()) {
+    hooks_.newer_plan(Read(reply.getPlan()));
+  }
+}
+
+void entry_links::Receive(session_id session, session_wire::Agent::OrderParams::Reader params) {
+  auto found = std::ranges::find_if(
+      links_, [session](const auto& item) { return item.second->session == session; });
+  if (params.hasPlan()) {
+    hooks_.newer_plan(Read(params.getPlan()));
+  }
+  if (found == links_.end()) {
+    return;  // the session is over on this side: its orders are void
+  }
+  for (auto job : params.getJobs()) {
+    for (run_order& order : Read(job, session)) {
+      found->second->orders_seen = std::max(found->second->orders_seen, order.order);
+      hooks_.order(std::move(order));
+    }
+  }
+  for (uint64_t order : params.getStops()) {
+    hooks_.withdraw(session, order);
+  }
+  hooks_.after_message();
+}
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/libraries/session/entry_links.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <capnp/rpc-twoparty.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "board/board_events.h"
+#include "rpc/event_loop.h"
+#include "session/session.capnp.h"
+
+namespace wagtail::leased {
+
+struct entry_links_options {
+  /// A report goes out at least this often.
+  duration report_interval = std::chrono::milliseconds(100);
+  /// A changed load alone is told at most this often.
+  duration load_interval = std::chrono::milliseconds(30);
+  /// A connection that must be made within this time, or is tried again.
+  duration connect_limit = std::chrono::milliseconds(700);
+  /// A link without an answer for this long is given up.
+  duration silence_limit = std::chrono::milliseconds(600);
+  /// Pause before another try, doubled up to the second value.
+  duration first_retry = std::chrono::milliseconds(100);
+  duration longest_retry = std::chrono::milliseconds(1500);
+  /// An address that nobody names any more is dropped after this.
+  duration forget_after = std::chrono::seconds(60);
+};
+
+/// The agent's end of its sessions: one connection to every entry it knows. Everything runs on the
+/// event loop's thread.
+class entry_links {
+ public:
+  struct hooks {
+    std::function<instant()> now;
+    std::function<void(session_id, instant sent)> opened;
+    std::function<void(session_id, instant sent)> vouched;
+    std::function<void(session_id)> closed;
+    std::function<void(run_order)> order;
+    std::function<void(session_id, uint64_t order)> withdraw;
+    std::function<void()> after_message;
+    std::function<target_status()> load;
+    std::function<bool()> settled;
+    std::function<const operating_plan&()> plan;
+    std::function<void(operating_plan)> newer_plan;
+  };
+
+  entry_links(event_loop& loop, agent_identity self, entry_links_options options, hooks hooks);
+  ~entry_links();
+
+  /// Takes note of an entry.
+  /// @param address IP:PORT
+  void Know(const std::string& address);
+  /// Keeps a result for the session's next report.
+  void Result(const run_result& result);
+  /// Sends what is due: results, changed load, keep-alives; makes missing connections. To be called
+  /// after each batch of events and every few milliseconds.
+  void Flush(bool load_changed);
+  /// @return entries with an open session
+  std::vector<std::string> Open() const;
+
+ private:
+  struct link;
+  class agent_server;
+
+  void Dial(link& target);
+  void Joined(link& target, session_id session, instant sent);
+  void Drop(link& target, const std::string& why);
+  void Send(link& target, instant now);
+  void Answered(link& target, session_id session, instant sent,
+                session_wire::Reply::Reader reply);
+  void Receive(session_id session, session_wire::Agent::OrderParams::Reader params);
+
+  event_loop& loop_;
+  agent_identity self_;
+  entry_links_options options_;
+  hooks hooks_;
+  std::map<std::string, std::unique_ptr<link>> links_;
+  session_id next_session_ = 1;
+  std::shared_ptr<entry_links*> alive_;  ///< null once destroyed; held by callbacks
+};
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/libraries/session/session.capnp
@@ -0,0 +1,127 @@
+@0xd0f3a9b7c5e21846;
+# Spoken between entries and targets' agents. Agents connect to every entry they know; entries send
+# orders back over the same connection. All durations are in microseconds.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("wagtail::session_wire");
+
+struct Queue {
+  name @0 :Text;
+  host @1 :Text;
+  pathPrefix @2 :Text;
+  service @3 :Text;
+  priority @4 :UInt32;
+  maxAttempts @5 :UInt32;
+  stretch @6 :Float64;
+  allowance @7 :Int64;
+  timeout @8 :Int64;
+}
+
+struct Service {
+  name @0 :Text;
+  targetsGuardCapacity @1 :Bool;
+}
+
+struct Plan {
+  revision @0 :UInt64;
+  version @1 :UInt64;
+  queues @2 :List(Queue);
+  services @3 :List(Service);
+  leavingDomains @4 :List(Text);
+  maxBodyBytes @5 :UInt64;
+}
+
+struct TaskOrder {
+  order @0 :UInt64;       # unique within the session
+  step @1 :UInt32;
+  index @2 :UInt32;
+  run @3 :UInt32;         # least number of the run
+  cpu @4 :UInt32;         # thousandths of a core
+  memMb @5 :UInt32;
+  gpu @6 :UInt32;
+  estimate @7 :Int64;     # expected duration on a target of nominal speed
+  latestStart @8 :Int64;  # from the arrival of the order: how long a start still meets the objective
+  maxWait @9 :Int64;      # from the arrival of the order: how long it may wait for room
+}
+
+# Tasks of one job; its text is sent once for all of them.
+struct JobOrder {
+  job @0 :Text;
+  text @1 :Text;
+  priority @2 :UInt32;
+  tasks @3 :List(TaskOrder);
+}
+
+enum Outcome {
+  done @0;
+  failed @1;
+  stopped @2;       # by order of the entry, or its vouching lapsed
+  lost @3;          # lapsed or gone with the target; certainly not running any more
+  notStarted @4;    # refused, and never will be started under this order
+}
+
+struct TaskResult {
+  order @0 :UInt64;
+  outcome @1 :Outcome;
+  reason @2 :Text;
+  run @3 :UInt32;       # the number used, or 0
+  waited @4 :Int64;     # from the order's arrival to the start
+  ran @5 :Int64;        # from the start to the end
+}
+
+enum TargetState {
+  absent @0;     # no target has announced itself, or it can't be reached
+  serving @1;
+  draining @2;
+}
+
+struct Load {
+  state @0 :TargetState;
+  target @1 :Text;
+  service @2 :Text;
+  cpu @3 :UInt32;
+  memMb @4 :UInt32;
+  gpu @5 :UInt32;
+  freeCpu @6 :Int32;
+  freeMemMb @7 :Int32;
+  freeGpu @8 :Int32;
+  queuedCpu @9 :UInt32;
+  slowness @10 :Float64;      # duration of a task against its estimate
+  failing @11 :Float64;       # share of the last runs that failed
+  meanRun @12 :Int64;         # of the last runs
+  entries @13 :UInt32;        # sessions of the agent that are open
+  ordersSeen @14 :UInt64;     # orders of this session that are counted in what is free
+  settled @15 :Bool;          # nothing ordered in an earlier session of this entry can run any more
+}
+
+struct Report {
+  load @0 :Load;
+  results @1 :List(TaskResult);
+  planRevision @2 :UInt64;
+  plan @3 :Plan;              # present when newer than the entry's
+  otherEntries @4 :List(Text);
+}
+
+struct Hello {
+  agent @0 :Text;             # name of the VM
+  address @1 :Text;
+  domain @2 :Text;
+}
+
+struct Reply {
+  planRevision @0 :UInt64;
+  plan @1 :Plan;              # present when newer than the agent's
+  otherEntries @2 :List(Text);
+}
+
+interface Agent {
+  order @0 (jobs :List(JobOrder), stops :List(UInt64), plan :Plan) -> ();
+}
+
+interface Session {
+  report @0 (report :Report) -> (reply :Reply);
+}
+
+interface Entry {
+  join @0 (hello :Hello, agent :Agent) -> (session :Session);
+}
--- /dev/null
+++ b/libraries/session/session_codec.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <vector>
+
+#include "board/board_events.h"
+#include "leases/run_events.h"
+#include "plan/operating_plan.h"
+#include "session/session.capnp.h"
+
+/// @file
+/// Turns the messages between entries and agents into the values that decisions are made on, and
+/// back. Readers throw kj::Exception on malformed messages; the RPC system turns that into a failed
+/// call.
+
+namespace wagtail::leased {
+
+void Write(const operating_plan& plan, session_wire::Plan::Builder out);
+operating_plan Read(session_wire::Plan::Reader in);
+
+void Write(const order_batch& batch, session_wire::JobOrder::Builder out);
+/// @param session the orders came over
+std::vector<run_order> Read(session_wire::JobOrder::Reader in, session_id session);
+
+void Write(const run_result& result, session_wire::TaskResult::Builder out);
+run_result Read(session_wire::TaskResult::Reader in, session_id session);
+
+void Write(const session_report& report, session_wire::Load::Builder out);
+session_report Read(session_wire::Load::Reader in);
+
+void Write(const agent_identity& agent, session_wire::Hello::Builder out);
+agent_identity Read(session_wire::Hello::Reader in);
+
+std::vector<std::string> Read(capnp::List<capnp::Text>::Reader in);
+void Write(std::span<const std::string> texts, capnp::List<capnp::Text>::Builder out);
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/libraries/table/table_follower.cc
@@ -0,0 +1,71 @@
+#include "table/table_follower.h"
+
+#include <utility>
+
+namespace wagtail {
+
+table_follower::table_follower(table_follower_options options, hooks hooks)
+    : options_(options), hooks_(std::move(hooks)) {}
+
+void table_follower::Start() { Read(); }
+
+void table_follower::Read() {
+  hooks_.read([this](absl::StatusOr<table_changes> read) {
+    if (!read.ok()) {
+      Failed(read.status());
+      return;
+    }
+    Regained();
+    if (read->revision >= revision_) {
+      rows_.clear();
+      for (table_row& row : read->rows) {
+        if (row.value.has_value()) {
+          rows_.insert_or_assign(std::move(row.key), *std::move(row.value));
+        }
+      }
+      revision_ = read->revision;
+      hooks_.changed(rows_, revision_);
+    }
+    Follow();
+  });
+}
+
+void table_follower::Follow() {
+  hooks_.follow(revision_, [this](absl::StatusOr<table_changes> changes) {
+    if (!changes.ok()) {
+      Failed(changes.status());
+      return;
+    }
+    for (table_row& row : changes->rows) {
+      if (row.value.has_value()) {
+        rows_.insert_or_assign(std::move(row.key), *std::move(row.value));
+      } else {
+        rows_.erase(row.key);
+      }
+    }
+    bool news = !changes->rows.empty();
+    revision_ = std::max(revision_, changes->revision);
+    if (news) {
+      hooks_.changed(rows_, revision_);
+    }
+    Follow();
+  });
+}
+
+void table_follower::Failed(const absl::Status& status) {
+  if (in_touch_ || !told_lost_) {
+    hooks_.lost(status);
+  }
+  in_touch_ = false;
+  told_lost_ = true;
+  hooks_.later(options_.retry, [this] { Read(); });
+}
+
+void table_follower::Regained() {
+  if (!in_touch_) {
+    in_touch_ = true;
+    hooks_.regained();
+  }
+}
+
+}  // namespace wagtail
--- /dev/null
+++ b/services/dispatchd/caller_wait.cc
@@ -0,0 +1,74 @@
+#include "services/dispatchd/caller_wait.h"
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "base/verify.h"
+
+namespace wagtail::leased {
+namespace {
+
+enum class peer_state { kThere, kGone };
+
+/// The connection has become readable: either its end has come or more bytes.
+peer_state LookAt(int socket) {
+  char byte = 0;
+  ssize_t got = recv(socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  bool gone = got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+  return gone ? peer_state::kGone : peer_state::kThere;
+}
+
+}  // namespace
+
+caller_wait::caller_wait() : wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) { VERIFY(wake_ >= 0); }
+
+caller_wait::~caller_wait() { close(wake_); }
+
+void caller_wait::Answer(job_answer answer) {
+  {
+    std::lock_guard lock(mutex_);
+    answer_ = std::move(answer);
+  }
+  uint64_t one = 1;
+  VERIFY(write(wake_, &one, sizeof(one)) == sizeof(one));
+}
+
+std::optional<job_answer> caller_wait::Take() {
+  std::lock_guard lock(mutex_);
+  return std::exchange(answer_, std::nullopt);
+}
+
+std::optional<job_answer> caller_wait::Wait(int socket, duration limit) {
+  instant end = MonotonicNow() + limit;
+  // A caller that sends more bytes ahead is only watched for its hang-up.
+  std::array<pollfd, 2> watched = {{{.fd = wake_, .events = POLLIN, .revents = 0},
+                                    {.fd = socket, .events = POLLIN | POLLRDHUP, .revents = 0}}};
+  while (true) {
+    int64_t left = ToMilliseconds(end - MonotonicNow());
+    if (left <= 0) {
+      return Take();
+    }
+    int ready = poll(watched.data(), watched.size(), static_cast<int>(left) + 1);
+    if (ready < 0 && errno != EINTR) {
+      return Take();
+    }
+    if (watched[0].revents != 0) {
+      return Take();
+    }
+    if (watched[1].revents != 0) {
+      if (LookAt(socket) == peer_state::kGone) {
+        return Take();
+      }
+      watched[1].events = POLLRDHUP;
+    }
+  }
+}
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/services/dispatchd/caller_wait.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <optional>
+
+#include "base/time.h"
+#include "board/board_events.h"
+
+namespace wagtail::leased {
+
+/// Lets the thread of a caller's connection wait for the answer of a job, and notices when the
+/// caller is gone. One thread waits, any thread answers.
+class caller_wait {
+ public:
+  caller_wait();
+  ~caller_wait();
+  caller_wait(const caller_wait&) = delete;
+  caller_wait& operator=(const caller_wait&) = delete;
+
+  void Answer(job_answer answer);
+
+  /// @param socket of the caller's connection, or -1
+  /// @param limit after which waiting ends in any case
+  /// @return the answer, or nothing if the caller is gone or the limit has passed
+  std::optional<job_answer> Wait(int socket, duration limit);
+
+ private:
+  std::optional<job_answer> Take();
+
+  int wake_ = -1;
+  std::mutex mutex_;
+  std::optional<job_answer> answer_;
+};
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/services/dispatchd/dispatch_service.cc
@@ -0,0 +1,323 @@
+#include "services/dispatchd/dispatch_service.h"
+
+#include <array>
+#include <thread>
+#include <utility>
+
+#include "base/layer_error.h"
+#include "base/try.h"
+#include "logging/logging.h"
+#include "metrics/process_metrics.h"
+#include "platform/job_json.h"
+#include "platform/node_services.h"
+
+namespace wagtail::leased {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr duration kTick = std::chrono::milliseconds(10);
+/// How long the store may hold a request for changes of the plan.
+constexpr duration kPlanWait = std::chrono::milliseconds(1000);
+/// An entry that no agent has named for this long is no longer passed on.
+constexpr duration kEntryMemory = std::chrono::seconds(10);
+/// After a request to stop, new work is still taken for this long: the balancer needs it to notice.
+constexpr duration kLastIntake = std::chrono::milliseconds(2500);
+/// Past a job's deadline its caller's thread waits this long for the answer.
+constexpr duration kAnswerGrace = std::chrono::seconds(2);
+constexpr std::array kAnswerSecondsBounds = {0.01, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0};
+
+std::string_view NameOf(job_outcome outcome) {
+  switch (outcome) {
+    case job_outcome::kCompleted:
+      return "completed";
+    case job_outcome::kFailed:
+      return "failed";
+    case job_outcome::kRefused:
+      return "refused";
+    case job_outcome::kAbandoned:
+      return "abandoned";
+    case job_outcome::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+dispatch_service::dispatch_service(const platform::node_settings& settings)
+    : settings_(settings),
+      answers_(&metrics_.Counters("wagtail_entry_answers_total", "Answers to jobs.")),
+      answer_seconds_(&metrics_.Histograms("wagtail_entry_answer_seconds",
+                                           "Time from a job's arrival to its answer.",
+                                           kAnswerSecondsBounds)),
+      shared_plan_(std::make_unique<const operating_plan>()),
+      filters_(MakeFrontFilters(FrontHooks())) {
+  AddProcessMetrics(metrics_);
+}
+
+dispatch_service::~dispatch_service() {
+  front_server_.reset();
+  ready_server_.reset();
+  control_server_.reset();
+  metrics_server_.reset();
+  loop_.Stop([this] {
+    agent_server_.reset();
+    sessions_.reset();
+    plan_follower_.reset();
+    store_.reset();
+    board_.reset();
+  });
+}
+
+absl::Status dispatch_service::Start() {
+  loop_.Run([this] {
+    MakeBoard();
+    MakeSessions();
+  });
+  TRY(ListenForAgents());
+  loop_.Run([this] {
+    FollowStore();
+    Tick();
+  });
+  ready_server_ = TRY(platform::ServeAt(
+      settings_.ready, [this](const http_request& /*request*/) { return AnswerReady(); }));
+  front_server_ = TRY(platform::ServeAt(settings_.front, [this](const http_request& request) {
+    return RunFrontFilters(filters_, request);
+  }));
+  if (!settings_.control.empty()) {
+    // Targets announce themselves to the agents on their own VMs.
+    control_server_ =
+        TRY(platform::ServeAt(settings_.control, [](const http_request& /*request*/) {
+          return http_response{.status = kUnavailable, .headers = {}, .body = "{}"};
+        }));
+  }
+  metrics_server_ = TRY(platform::ServeMetrics(settings_.ip, metrics_));
+  return absl::OkStatus();
+}
+
+absl::Status dispatch_service::ListenForAgents() {
+  return rpc_server::Listen(loop_, settings_.SessionAddress(settings_.ip),
+                            [this](kj::Own<kj::ConnectionReceiver> receiver) {
+                              agent_server_ = std::make_unique<rpc_server>(kj::mv(receiver),
+                                                                           sessions_->Bootstrap());
+                            });
+}
+
+void dispatch_service::MakeBoard() {
+  board_ = std::make_unique<job_board>(
+      job_board_options{}, [this](order_batch batch) { sessions_->Order(std::move(batch)); },
+      [this](session_id session, uint64_t order) { sessions_->Withdraw(session, order); },
+      [this](job_serial serial, const job_answer& answer) {
+        auto found = waiting_.find(serial);
+        if (found != waiting_.end()) {
+          found->second->Answer(answer);
+          waiting_.erase(found);
+        }
+      },
+      [](const board_note& note) {
+        LogFact(log_level::kInfo, note.fact, {{"job", note.job}, {"detail", note.detail}});
+      });
+}
+
+void dispatch_service::MakeSessions() {
+  agent_sessions::hooks hooks;
+  hooks.now = BootTimeNow;
+  hooks.opened = [this](session_id session, const agent_identity& agent) {
+    LogFact(log_level::kInfo, "agent_joined",
+            {{"agent", agent.name}, {"address", agent.address}, {"session", session}});
+    board_->Opened(session, agent, BootTimeNow());
+  };
+  hooks.reported = [this](session_id session, const session_report& report) {
+    board_->Reported(session, report, BootTimeNow());
+  };
+  hooks.result = [this](const run_result& result) { board_->Result(result, BootTimeNow()); };
+  hooks.closed = [this](session_id session) {
+    LogFact(log_level::kWarning, "agent_lost", {{"session", session}});
+    board_->Closed(session, BootTimeNow());
+    Changed();
+  };
+  hooks.after_message = [this] { Changed(); };
+  hooks.plan = [this]() -> const operating_plan& { return plan_; };
+  hooks.newer_plan = [this](operating_plan plan) { TakePlan(std::move(plan)); };
+  hooks.entries = [this] { return KnownEntries(); };
+  hooks.heard_of_entry = [this](const std::string& entry) { HeardOf(entry); };
+  sessions_ = std::make_unique<agent_sessions>(loop_, std::move(hooks));
+}
+
+void dispatch_service::FollowStore() {
+  store_ = std::make_unique<platform::store_client>(loop_, settings_.store);
+  plan_follower_ = platform::FollowPlan(loop_, *store_, kPlanWait,
+                                        [this](operating_plan plan) { TakePlan(std::move(plan)); });
+  platform::RegisterEntry(loop_, *store_, settings_.SessionAddress(settings_.ip));
+}
+
+void dispatch_service::TakePlan(operating_plan plan) {
+  if (plan.revision <= plan_.revision) {
+    return;
+  }
+  LogFact(log_level::kInfo, "plan_taken",
+          {{"revision", plan.revision},
+           {"version", plan.version},
+           {"queues", plan.queues.size()},
+           {"leaving_domains", plan.leaving_domains.size()}});
+  plan_ = std::move(plan);
+  shared_plan_.Publish(std::make_unique<const operating_plan>(plan_));
+  board_->Plan(plan_);
+  sessions_->SendPlan(plan_);
+  Changed();
+}
+
+void dispatch_service::HeardOf(const std::string& entry) { entries_[entry] = BootTimeNow(); }
+
+std::vector<std::string> dispatch_service::KnownEntries() const {
+  std::vector<std::string> known;
+  instant now = BootTimeNow();
+  for (const auto& [address, named] : entries_) {
+    if (now - named < kEntryMemory) {
+      known.push_back(address);
+    }
+  }
+  return known;
+}
+
+void dispatch_service::Changed() {
+  if (std::exchange(turn_posted_, true)) {
+    return;
+  }
+  loop_.After(duration::zero(), [this] {
+    turn_posted_ = false;
+    board_->Place(BootTimeNow());
+    sessions_->Flush();
+  });
+}
+
+void dispatch_service::Tick() {
+  instant now = BootTimeNow();
+  for (session_id session : board_->TakeSilent(now)) {
+    sessions_->Close(session);
+  }
+  board_->Tick(now);
+  board_->Place(now);
+  sessions_->Flush();
+  targets_in_use_ = board_->targets_in_use(now);
+  loop_.After(kTick, [this] { Tick(); });
+}
+
+front_hooks dispatch_service::FrontHooks() {
+  front_hooks hooks;
+  hooks.stopping = [this] { return refusing_.load(); };
+  hooks.has_plan = [this] {
+    return shared_plan_.Read([](const operating_plan& plan) { return plan.version > 0; });
+  };
+  hooks.queue = [this](const std::string& host, const std::string& path, size_t& max_body_bytes) {
+    return shared_plan_.Read([&](const operating_plan& plan) {
+      max_body_bytes = plan.max_body_bytes;
+      const queue_plan* queue = plan.QueueFor(host, path);
+      return queue == nullptr ? std::nullopt : std::optional(*queue);
+    });
+  };
+  hooks.submit = [this](front_request& request) { return Submit(request); };
+  hooks.cancel = [this](front_request& request) { return Cancel(request); };
+  hooks.state = [this](front_request& request) { return State(request); };
+  return hooks;
+}
+
+http_response dispatch_service::Submit(front_request& request) {
+  auto wait = std::make_shared<caller_wait>();
+  job_serial serial = next_serial_++;
+  duration deadline = request.submission.deadline;
+  instant arrived = BootTimeNow();
+  LogFact(log_level::kInfo, "job_arrived",
+          {{"job", request.job},
+           {"queue", request.queue.name},
+           {"deadline_ms", ToMilliseconds(deadline)}});
+  loop_.Post([this, serial, wait, submission = std::move(request.submission)]() mutable {
+    waiting_[serial] = wait;
+    board_->Submit(serial, std::move(submission), BootTimeNow());
+    Changed();
+  });
+  std::optional<job_answer> answer = wait->Wait(request.http->socket, deadline + kAnswerGrace);
+  if (!answer.has_value()) {
+    loop_.Post([this, serial] {
+      waiting_.erase(serial);
+      board_->CallerGone(serial, BootTimeNow());
+      Changed();
+    });
+    answer = {.outcome = job_outcome::kAbandoned, .reason = "caller_gone"};
+  }
+  CountAnswer(request, *answer, arrived);
+  return platform::WriteAnswer(*answer);
+}
+
+void dispatch_service::CountAnswer(const front_request& request, const job_answer& answer,
+                                   instant arrived) {
+  duration took = BootTimeNow() - arrived;
+  LogFact(log_level::kInfo, "job_answered",
+          {{"job", request.job},
+           {"queue", request.queue.name},
+           {"outcome", NameOf(answer.outcome)},
+           {"reason", answer.reason},
+           {"retry_after_ms", ToMilliseconds(answer.retry_after)},
+           {"took_ms", ToMilliseconds(took)}});
+  answers_
+      ->Add({{"queue", request.queue.name},
+             {"outcome", std::string(NameOf(answer.outcome))},
+             {"reason", answer.reason}})
+      .Increment();
+  answer_seconds_->Add({{"queue", request.queue.name}}).Observe(ToSeconds(took));
+}
+
+http_response dispatch_service::Cancel(const front_request& request) {
+  bool known = false;
+  loop_.Run([&] {
+    known = board_->Cancel(request.job, BootTimeNow());
+    Changed();
+  });
+  LogFact(log_level::kInfo, "cancel_answered", {{"job", request.job}, {"known", known}});
+  if (!known) {
+    return platform::WriteRefusal(kGone, "no_such_job", duration::zero());
+  }
+  return platform::WriteAnswer({.outcome = job_outcome::kCancelled});
+}
+
+http_response dispatch_service::State(const front_request& request) {
+  bool known = false;
+  loop_.Run([&] { known = board_->Knows(request.job); });
+  if (!known) {
+    return platform::WriteRefusal(kGone, "no_such_job", duration::zero());
+  }
+  return {.status = kOk,
+          .headers = {{"content-type", "application/json"}},
+          .body = R"({"state":"running"})"};
+}
+
+http_response dispatch_service::AnswerReady() const {
+  bool has_plan =
+      shared_plan_.Read([](const operating_plan& plan) { return plan.version > 0; });
+  bool ready = has_plan && targets_in_use_ > 0 && !leaving_;
+  return {.status = ready ? kOk : kUnavailable, .headers = {}, .body = "{}"};
+}
+
+void dispatch_service::Reload(const platform::node_settings& /*settings*/) {
+  // Agents come to the entries: nothing here depends on what can change while a process lives.
+}
+
+void dispatch_service::Stop(duration limit) {
+  constexpr auto kPoll = std::chrono::milliseconds(20);
+  instant begin = BootTimeNow();
+  leaving_ = true;
+  while (BootTimeNow() < begin + std::min(limit, kLastIntake)) {
+    std::this_thread::sleep_for(kPoll);
+  }
+  refusing_ = true;
+  size_t left = 1;
+  while (left > 0 && BootTimeNow() < begin + limit) {
+    std::this_thread::sleep_for(kPoll);
+    loop_.Run([this, &left] { left = board_->jobs(); });
+  }
+  std::this_thread::sleep_for(kPoll);
+}
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/services/dispatchd/dispatch_service.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "board/job_board.h"
+#include "http/http_server.h"
+#include "metrics/metrics_registry.h"
+#include "platform/node_settings.h"
+#include "platform/store_client.h"
+#include "rpc/event_loop.h"
+#include "rpc/rpc_server.h"
+#include "services/dispatchd/caller_wait.h"
+#include "services/dispatchd/front_filters.h"
+#include "session/agent_sessions.h"
+#include "snapshot/snapshot_cell.h"
+#include "table/table_follower.h"
+
+namespace wagtail::leased {
+
+/// One entry: connects the decisions of a job_board with callers, agents and the platform's store.
+class dispatch_service {
+ public:
+  explicit dispatch_service(const platform::node_settings& settings);
+  ~dispatch_service();
+
+  absl::Status Start();
+  void Reload(const platform::node_settings& settings);
+  /// Takes no new work after a while, lets jobs end, for `limit` at most.
+  void Stop(duration limit);
+
+ private:
+  absl::Status ListenForAgents();
+  void MakeBoard();
+  void MakeSessions();
+  void FollowStore();
+  void Tick();
+  void TakePlan(operating_plan plan);
+  void Changed();
+  void HeardOf(const std::string& entry);
+  std::vector<std::string> KnownEntries() const;
+
+  front_hooks FrontHooks();
+  http_response Submit(front_request& request);
+  http_response Cancel(const front_request& request);
+  http_response State(const front_request& request);
+  http_response AnswerReady() const;
+  void CountAnswer(const front_request& request, const job_answer& answer, instant arrived);
+
+  platform::node_settings settings_;
+  metrics_registry metrics_;
+  family<counter>* answers_;
+  family<histogram>* answer_seconds_;
+  snapshot_cell<operating_plan> shared_plan_;  ///< read by the threads of connections
+  std::atomic<bool> refusing_ = false;         ///< no new work is taken
+  std::atomic<bool> leaving_ = false;          ///< the process has been asked to stop
+  std::atomic<size_t> targets_in_use_ = 0;
+  std::atomic<job_serial> next_serial_ = 1;
+  std::vector<front_filter> filters_;
+  event_loop loop_;
+  // What follows is used on the loop's thread only.
+  operating_plan plan_;
+  std::unique_ptr<job_board> board_;
+  std::unique_ptr<agent_sessions> sessions_;
+  std::unique_ptr<rpc_server> agent_server_;
+  std::unique_ptr<platform::store_client> store_;
+  std::unique_ptr<table_follower> plan_follower_;
+  std::unordered_map<job_serial, std::shared_ptr<caller_wait>> waiting_;
+  std::map<std::string, instant> entries_;  ///< when an agent last named each
+  bool turn_posted_ = false;
+  // Threads of their own; ended first.
+  std::unique_ptr<http_server> front_server_;
+  std::unique_ptr<http_server> ready_server_;
+  std::unique_ptr<http_server> control_server_;
+  std::unique_ptr<http_server> metrics_server_;
+};
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/services/dispatchd/front_filters.cc
@@ -0,0 +1,119 @@
+#include "services/dispatchd/front_filters.h"
+
+#include <memory>
+#include <utility>
+
+#include "base/layer_error.h"
+#include "logging/logging.h"
+#include "platform/job_json.h"
+#include "platform/platform_error.h"
+
+namespace wagtail::leased {
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kWrongMethod = 405;
+constexpr int kTooLarge = 413;
+constexpr int kUnavailable = 503;
+constexpr duration kNoRetry{0};
+/// When to come back to an entry that stops, has no plan yet or does not know the kind of job.
+constexpr duration kRetry = std::chrono::seconds(1);
+/// For requests that state no deadline, on queues without a time-out.
+constexpr duration kDefaultDeadline = std::chrono::seconds(5);
+
+std::optional<http_response> FindQueue(const front_hooks& hooks, front_request& request) {
+  auto host = request.http->headers.find("host");
+  std::string name = host == request.http->headers.end() ? "" : host->second;
+  name = name.substr(0, name.find(':'));
+  std::optional<queue_plan> queue = hooks.queue(name, request.http->path, request.max_body_bytes);
+  if (!queue.has_value()) {
+    return platform::WriteRefusal(kNotFound, "no_such_queue", kNoRetry);
+  }
+  request.job = request.http->path.substr(queue->path_prefix.size());
+  request.queue = *std::move(queue);
+  return std::nullopt;
+}
+
+std::optional<http_response> CheckShape(front_request& request) {
+  if (request.http->body.size() > request.max_body_bytes) {
+    return platform::WriteRefusal(kTooLarge, "body_too_large", kNoRetry);
+  }
+  if (request.job.empty() && request.http->method == "GET") {
+    // Jobs are answered when they have ended, so none is ever accepted and waiting.
+    return platform::WritePending(0);
+  }
+  if (!platform::IsJobId(request.job)) {
+    return platform::WriteRefusal(kBadRequest, "not_a_job_id", kNoRetry);
+  }
+  return std::nullopt;
+}
+
+std::optional<http_response> DecodeJob(front_request& request) {
+  if (request.http->method != "POST") {
+    return std::nullopt;
+  }
+  absl::StatusOr<platform::job_body> job = platform::ReadJob(request.http->body);
+  if (!job.ok()) {
+    bool unsupported = ErrorOf<platform::platform_error>(job.status()) ==
+                       platform::platform_error::kUnsupported;
+    LogFact(log_level::kWarning, "job_refused",
+            {{"job", request.job}, {"reason", MessageOf(job.status())}});
+    return unsupported ? platform::WriteRefusal(kUnavailable, "kind_of_job_not_built", kRetry)
+                       : platform::WriteRefusal(kBadRequest, MessageOf(job.status()), kNoRetry);
+  }
+  duration fallback =
+      request.queue.timeout > duration::zero() ? request.queue.timeout : kDefaultDeadline;
+  request.submission = {.id = request.job,
+                        .text = std::make_shared<const std::string>(std::move(job->text)),
+                        .queue = request.queue,
+                        .steps = std::move(job->steps),
+                        .deadline = platform::ReadDeadline(*request.http).value_or(fallback)};
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::vector<front_filter> MakeFrontFilters(front_hooks hooks) {
+  std::vector<front_filter> filters;
+  filters.emplace_back([hooks](front_request&) -> std::optional<http_response> {
+    if (hooks.stopping()) {
+      return platform::WriteRefusal(kUnavailable, "stopping", kRetry);
+    }
+    if (!hooks.has_plan()) {
+      return platform::WriteRefusal(kUnavailable, "no_plan_yet", kRetry);
+    }
+    return std::nullopt;
+  });
+  filters.emplace_back([hooks](front_request& request) { return FindQueue(hooks, request); });
+  filters.emplace_back(CheckShape);
+  filters.emplace_back(DecodeJob);
+  filters.emplace_back([hooks](front_request& request) -> std::optional<http_response> {
+    const std::string& method = request.http->method;
+    if (method == "POST") {
+      return hooks.submit(request);
+    }
+    if (method == "DELETE") {
+      return hooks.cancel(request);
+    }
+    if (method == "GET") {
+      return hooks.state(request);
+    }
+    return platform::WriteRefusal(kWrongMethod, "wrong_method", kNoRetry);
+  });
+  return filters;
+}
+
+http_response RunFrontFilters(const std::vector<front_filter>& filters,
+                              const http_request& request) {
+  front_request passing{.http = &request};
+  for (const front_filter& filter : filters) {
+    std::optional<http_response> answer = filter(passing);
+    if (answer.has_value()) {
+      return *std::move(answer);
+    }
+  }
+  return platform::WriteRefusal(kUnavailable, "unanswered", kRetry);
+}
+
+}  // namespace wagtail::leased
--- /dev/null
+++ b/services/dispatchd/front_filters.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "board/board_events.h"
+#include "http/http_message.h"
+#include "plan/operating_plan.h"
+
+namespace wagtail::leased {
+
+/// A caller's request on its way through the filters.
+struct front_request {
+  const http_request* http = nullptr;
+  queue_plan queue{};
+  std::string job{};  ///< empty if the request is about the queue itself
+  size_t max_body_bytes = 0;
+  job_submission submission{};
+};
+
+/// Looks at a request, fills in what later ones need, and answers or lets it pass.
+using front_filter = std::function<std::optional<http_response>(front_request&)>;
+
+/// What the filters ask of the entry.
+struct front_hooks {
+  std::function<bool()> stopping;
+  /// Finds the queue of a request and the limit of bodies; nothing if there is no such queue.
+  std::function<std::optional<queue_plan>(const std::string& host, const std::string& path,
+                                          size_t& max_body_bytes)>
+      queue;
+  std::function<bool()> has_plan;
+  std::function<http_response(front_request&)> submit;
+  std::function<http_response(front_request&)> cancel;
+  std::function<http_response(front_request&)> state;
+};
+
+/// @return the filters in their order; the last one answers everything
+std::vector<front_filter> MakeFrontFilters(front_hooks hooks);
+
+/// Passes a request through the filters.
+http_response RunFrontFilters(const std::vector<front_filter>& filters,
+                              const http_request& request);
+
+}  // namespace wagtail::leased
