Agents keep four links and report when there is something to tell

Change: an agent ranks entries by a hash of its own and keeps sessions with four; surplus ones are told to send nothing and closed when idle. Loads are told when they moved by 15% of the capacity; otherwise a report goes out every 120 ms (busy) or 200 ms (idle). Idle renewals wait 400 ms.

--- a/libraries/board/target_table.h
+++ b/libraries/board/target_table.h
@@ -13,7 +13,7 @@
 
 struct target_table_options {
   /// A target whose agent was not heard for this long gets nothing new.
-  duration quiet_limit = std::chrono::milliseconds(300);
+  duration quiet_limit = std::chrono::milliseconds(400);
   /// Longest predicted wait for room at which a task is still handed to an agent.
   duration queue_ahead = std::chrono::milliseconds(30);
   /// Share of failed runs from which a target gets only trial tasks.
--- a/libraries/leases/run_keeper.cc
+++ b/libraries/leases/run_keeper.cc
@@ -464,7 +464,7 @@
   next_renewal_ = now;
   StartWhatFits(now);
   if (renewals_.empty()) {
-    Renew(options_.renew_wait, now);
+    Renew(runs_.empty() ? options_.idle_renew_wait : options_.renew_wait, now);
   }
 }
 
@@ -662,6 +662,11 @@
   return load;
 }
 
+bool run_keeper::IsBusy(session_id session) const {
+  return std::ranges::any_of(
+      runs_, [session](const auto& item) { return item.second.order.session == session; });
+}
+
 bool run_keeper::Settled() const {
   if (!life_.has_value() || !life_->taken_over) {
     return false;
--- a/libraries/leases/run_keeper.h
+++ b/libraries/leases/run_keeper.h
@@ -24,6 +24,8 @@
   duration longest_lease = std::chrono::milliseconds(1000);
   /// How long a renewal waits at the target for an end.
   duration renew_wait = std::chrono::milliseconds(150);
+  /// The same while nothing runs; a start grants a lease of its own.
+  duration idle_renew_wait = std::chrono::milliseconds(400);
   /// How long an entry's answer to a report vouches for its runs, from when the report was sent.
   duration vouch = std::chrono::milliseconds(450);
   /// A stop that is not confirmed is asked for again after this.
@@ -87,6 +89,8 @@
   target_status Load() const;
   /// @return whether nothing that was ordered in a closed session can run any more
   bool Settled() const;
+  /// @return whether orders of this session have no final word yet
+  bool IsBusy(session_id session) const;
   /// @return orders without a final word
   size_t size() const { return runs_.size(); }
   /// @return whether the target is known, reachable and free of unknown runs
--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -1,8 +1,10 @@
 #include "session/entry_links.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
+#include "base/identifiers.h"
 #include "logging/logging.h"
 #include "rpc/batching_stream.h"
 #include "session/session_codec.h"
@@ -25,7 +27,9 @@
   instant last_report{};
   uint64_t plan_known = 0;  ///< revision that the entry is known to have
   uint64_t orders_seen = 0;
-  bool load_changed = false;
+  uint64_t rank = 0;           ///< entries with lower ranks are preferred
+  instant retired{};           ///< when the session became one too many, or the beginning of time
+  target_status told{};        ///< the load as it was last reported
   std::vector<run_result> results{};
 };
 
@@ -63,6 +67,7 @@
     known = std::make_unique<link>();
     known->address = address;
     known->retry = options_.first_retry;
+    known->rank = DigestOf(self_.address + " " + address);
     LogFact(log_level::kInfo, "entry_learned", {{"entry", address}});
   }
   known->named = hooks_.now();
@@ -145,9 +150,10 @@
   target.plan_known = 0;
   target.orders_seen = 0;
   target.results.clear();
+  target.retired = {};
   LogFact(log_level::kInfo, "entry_joined", {{"entry", target.address}, {"session", session}});
   hooks_.opened(session, sent);
-  Send(target, hooks_.now());
+  Send(target, hooks_.load(), hooks_.now());
 }
 
 void entry_links::Drop(link& target, const std::string& why) {
@@ -168,47 +174,94 @@
   }
 }
 
-void entry_links::Flush(bool load_changed) {
-  instant now = hooks_.now();
-  std::vector<std::string> forgotten;
+std::vector<entry_links::link*> entry_links::Ranked() {
+  std::vector<link*> ranked;
   for (auto& [address, each] : links_) {
-    if (each->session == 0) {
-      if (each->dialing || each->next_try > now) {
-        continue;
-      }
-      if (now - each->named > options_.forget_after) {
-        forgotten.push_back(address);
+    ranked.push_back(each.get());
+  }
+  std::ranges::sort(ranked, {}, &link::rank);
+  return ranked;
+}
+
+void entry_links::KeepLinks(instant now) {
+  std::erase_if(links_, [&](const auto& item) {
+    const link& each = *item.second;
+    return each.session == 0 && !each.dialing && now - each.named > options_.forget_after;
+  });
+  size_t kept = 0;
+  for (link* each : Ranked()) {
+    bool wanted = kept < options_.most_links;
+    if (each->session != 0) {
+      ++kept;
+      if (!wanted) {
+        Retire(*each, now);
       } else {
-        Dial(*each);
+        each->retired = {};
       }
-      continue;
+    } else if (each->dialing) {
+      ++kept;
+    } else if (wanted && each->next_try <= now) {
+      ++kept;
+      Dial(*each);
     }
-    if (now - each->answered > options_.silence_limit) {
+  }
+}
+
+void entry_links::Retire(link& surplus, instant now) {
+  if (surplus.retired == instant{}) {
+    surplus.retired = now;
+    return;
+  }
+  bool over = now - surplus.retired >= options_.retire_time && surplus.results.empty() &&
+              !hooks_.busy(surplus.session);
+  if (over) {
+    Drop(surplus, "surplus");
+  }
+}
+
+bool entry_links::IsDue(const link& target, const target_status& load, instant now) const {
+  duration since = now - target.last_report;
+  bool busy = hooks_.busy(target.session);
+  if (!target.results.empty() ||
+      since >= (busy ? options_.busy_interval : options_.idle_interval)) {
+    return true;
+  }
+  if (since < options_.load_interval) {
+    return false;
+  }
+  auto moved = static_cast<double>(std::abs(load.free.cpu - target.told.free.cpu));
+  auto step = options_.load_step * static_cast<double>(load.capacity.cpu);
+  return load.state != target.told.state || moved > step;
+}
+
+void entry_links::Flush() {
+  instant now = hooks_.now();
+  for (auto& [address, each] : links_) {
+    if (each->session != 0 && now - each->answered > options_.silence_limit) {
       Drop(*each, "silent");
-      continue;
-    }
-    each->load_changed |= load_changed;
-    duration since = now - each->last_report;
-    bool due = !each->results.empty() || since >= options_.report_interval ||
-               (each->load_changed && since >= options_.load_interval);
-    if (due) {
-      Send(*each, now);
     }
   }
-  for (const std::string& address : forgotten) {
-    links_.erase(address);
+  KeepLinks(now);
+  target_status load = hooks_.load();
+  for (auto& [address, each] : links_) {
+    if (each->session != 0 && IsDue(*each, load, now)) {
+      Send(*each, load, now);
+    }
   }
 }
 
-void entry_links::Send(link& target, instant now) {
+void entry_links::Send(link& target, const target_status& load, instant now) {
   KJ_IF_MAYBE (remote, target.remote) {
     auto request = remote->reportRequest();
     auto report = request.initReport();
-    session_report load{.load = hooks_.load(),
-                        .entries = static_cast<unsigned>(Open().size()),
-                        .orders_seen = target.orders_seen,
-                        .settled = hooks_.settled()};
-    Write(load, report.initLoad());
+    session_report status{.load = load,
+                          .entries = static_cast<unsigned>(Open().size()),
+                          .orders_seen = target.orders_seen,
+                          .settled = hooks_.settled()};
+    if (target.retired != instant{}) {
+      status.load.state = target_availability::kAbsent;
+    }
+    Write(status, report.initLoad());
     auto results = report.initResults(static_cast<unsigned>(target.results.size()));
     for (unsigned index = 0; index < results.size(); ++index) {
       Write(target.results[index], results[index]);
@@ -222,7 +275,7 @@
     std::vector<std::string> open = Open();
     Write(open, report.initOtherEntries(static_cast<unsigned>(open.size())));
     target.results.clear();
-    target.load_changed = false;
+    target.told = load;
     target.last_report = now;
     auto owner = alive_;
     uint64_t attempt = target.attempt;
--- a/libraries/session/entry_links.h
+++ b/libraries/session/entry_links.h
@@ -18,10 +18,20 @@
 namespace wagtail::leased {
 
 struct entry_links_options {
-  /// A report goes out at least this often.
-  duration report_interval = std::chrono::milliseconds(100);
+  /// Entries that the agent keeps sessions with, of all that it knows. Each agent ranks the entries
+  /// in an order of its own, so that every entry is given about the same number of agents.
+  size_t most_links = 4;
+  /// A report goes out at least this often while the entry has orders here.
+  duration busy_interval = std::chrono::milliseconds(120);
+  /// And this often while it has none.
+  duration idle_interval = std::chrono::milliseconds(200);
   /// A changed load alone is told at most this often.
-  duration load_interval = std::chrono::milliseconds(30);
+  duration load_interval = std::chrono::milliseconds(40);
+  /// Part of the capacity by which the free part must have changed to be told on its own.
+  double load_step = 0.15;
+  /// A session that is one too many stays open at least this long after its entry was told to send
+  /// nothing more.
+  duration retire_time = std::chrono::milliseconds(500);
   /// A connection that must be made within this time, or is tried again.
   duration connect_limit = std::chrono::milliseconds(700);
   /// A link without an answer for this long is given up.
@@ -46,6 +56,7 @@
     std::function<void(session_id, uint64_t order)> withdraw;
     std::function<void()> after_message;
     std::function<target_status()> load;
+    std::function<bool(session_id)> busy;  ///< whether orders of the session are unfinished
     std::function<bool()> settled;
     std::function<const operating_plan&()> plan;
     std::function<void(operating_plan)> newer_plan;
@@ -61,7 +72,7 @@
   void Result(const run_result& result);
   /// Sends what is due: results, changed load, keep-alives; makes missing connections. To be called
   /// after each batch of events and every few milliseconds.
-  void Flush(bool load_changed);
+  void Flush();
   /// @return entries with an open session
   std::vector<std::string> Open() const;
 
@@ -69,10 +80,15 @@
   struct link;
   class agent_server;
 
+  std::vector<link*> Ranked();
+  void KeepLinks(instant now);
+  void Retire(link& surplus, instant now);
+  bool IsDue(const link& target, const target_status& load, instant now) const;
+
   void Dial(link& target);
   void Joined(link& target, session_id session, instant sent);
   void Drop(link& target, const std::string& why);
-  void Send(link& target, instant now);
+  void Send(link& target, const target_status& load, instant now);
   void Answered(link& target, session_id session, instant sent, session_wire::Reply::Reader reply);
   void Receive(session_id session, session_wire::Agent::OrderParams::Reader params);
 
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -18,7 +18,7 @@
 namespace wagtail::leased {
 namespace {
 
-constexpr duration kTick = std::chrono::milliseconds(20);
+constexpr duration kTick = std::chrono::milliseconds(25);
 /// How long the store may hold a request for changes of the plan.
 constexpr duration kPlanWait = std::chrono::milliseconds(2000);
 /// How long the store may hold a request for changes of the entries' addresses.
@@ -127,6 +127,7 @@
   };
   hooks.after_message = [this] { Changed(); };
   hooks.load = [this] { return keeper_->Load(); };
+  hooks.busy = [this](session_id session) { return keeper_->IsBusy(session); };
   hooks.settled = [this] { return keeper_->Settled(); };
   hooks.plan = [this]() -> const operating_plan& { return plan_; };
   hooks.newer_plan = [this](operating_plan plan) { TakePlan(std::move(plan)); };
@@ -179,19 +180,18 @@
 }
 
 void agent_service::Changed() {
-  load_changed_ = true;
   if (std::exchange(flush_posted_, true)) {
     return;
   }
   loop_.After(duration::zero(), [this] {
     flush_posted_ = false;
-    links_->Flush(std::exchange(load_changed_, false));
+    links_->Flush();
   });
 }
 
 void agent_service::Tick() {
   keeper_->Tick(BootTimeNow());
-  links_->Flush(std::exchange(load_changed_, false));
+  links_->Flush();
   loop_.After(kTick, [this] { Tick(); });
 }
 
--- a/services/agentd/agent_service.h
+++ b/services/agentd/agent_service.h
@@ -52,7 +52,6 @@
   std::unique_ptr<platform::store_client> store_;
   std::unique_ptr<table_follower> plan_follower_;
   std::unique_ptr<table_follower> fleet_follower_;
-  bool load_changed_ = false;
   bool flush_posted_ = false;
   // Threads of their own; ended first.
   std::unique_ptr<http_server> control_server_;
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -17,7 +17,7 @@
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
-constexpr duration kTick = std::chrono::milliseconds(10);
+constexpr duration kTick = std::chrono::milliseconds(20);
 /// How long the store may hold a request for changes of the plan.
 constexpr duration kPlanWait = std::chrono::milliseconds(1000);
 /// An entry that no agent has named for this long is no longer passed on.
--- a/tests/session/session_loopback_test.cc
+++ b/tests/session/session_loopback_test.cc
@@ -77,6 +77,7 @@
     hooks.withdraw = [this](session_id, uint64_t order) { withdrawn.push_back(order); };
     hooks.after_message = [] {};
     hooks.load = [] { return target_status{}; };
+    hooks.busy = [](session_id) { return false; };
     hooks.settled = [] { return true; };
     hooks.plan = [this]() -> const operating_plan& { return plan; };
     hooks.newer_plan = [this](operating_plan newer) { plan = std::move(newer); };
@@ -111,7 +112,7 @@
   }
   bool Until(const std::function<bool()>& met) {
     return Eventually(*loop, [&] {
-      agent.links->Flush(false);
+      agent.links->Flush();
       return met();
     });
   }
