Wait for a target that is in time, find lost answers sooner, keep jobs over a restart

A lost answer to a renewal hid the ends of 300 ms, so that cores stood idle; a lost answer to a start cost its job 150 ms of an objective of 156. Beside that, tasks waited 60 ms at an agent, were given back and waited 60 ms at the next; tasks went to slow targets that could not be in time; after a restart the first jobs were refused since no agent had joined yet. Ruled out: refusing what is not predicted to be in time with a margin for wrong estimates. Change: starts are given up after 40 ms, renewals wait 30 ms for 2 s after a lost answer; agents keep a task up to 200 ms while its start is in time; a task waits for a faster target if one is expected to have room in time, and else takes what is free; an entry without targets takes jobs for 1.5 s.

--- a/libraries/board/job_board.cc
+++ b/libraries/board/job_board.cc
@@ -62,6 +62,11 @@
   if (jobs_.size() >= options_.most_jobs) {
     return refuse("too_many_jobs", options_.shortest_retry);
   }
+  if (targets_.InUse(now) == 0) {
+    bool expected =
+        without_targets_since_.has_value() && now - *without_targets_since_ < options_.target_grace;
+    return expected ? std::nullopt : std::optional(refuse("no_target", options_.shortest_retry));
+  }
   for (const step& each : candidate.steps) {
     target_table::need wanted{.service = candidate.submission.queue.service,
                               .room = each.spec.room,
@@ -283,6 +288,11 @@
 }
 
 void job_board::Tick(instant now) {
+  if (targets_.InUse(now) > 0) {
+    without_targets_since_.reset();
+  } else if (!without_targets_since_.has_value()) {
+    without_targets_since_ = now;
+  }
   SettleAgent("", now, false);
   std::vector<std::pair<std::string, job_answer>> ended;
   for (auto& [id, owner] : jobs_) {
@@ -376,14 +386,23 @@
   }
 }
 
+target_table::need job_board::NeedOf(const job& owner, const step& each, instant now) const {
+  target_table::need wanted{.service = owner.submission.queue.service,
+                            .room = each.spec.room,
+                            .estimate = each.spec.estimate};
+  // While the objective can be met a task waits for a target that meets it; later any will do.
+  if (now <= LatestStart(owner, now)) {
+    wanted.time_left = owner.objective - now - (owner.longest - each.spec.estimate);
+  }
+  return wanted;
+}
+
 bool job_board::PlaceTask(job& owner, uint32_t step_number, uint32_t index, order_batch& batch,
                           instant now) {
   step& each = owner.steps[step_number];
   task& item = each.tasks[index];
-  target_table::need wanted{.service = owner.submission.queue.service,
-                            .room = each.spec.room,
-                            .estimate = each.spec.estimate,
-                            .avoided = &item.avoided};
+  target_table::need wanted = NeedOf(owner, each, now);
+  wanted.avoided = &item.avoided;
   std::optional<target_table::choice> chosen = targets_.Choose(wanted, now);
   if (!chosen.has_value() && !item.avoided.empty()) {
     wanted.avoided = nullptr;
@@ -403,13 +422,15 @@
   batch.text = owner.submission.text;
   batch.job = owner.submission.id;
   batch.priority = owner.submission.queue.priority;
-  batch.orders.push_back({.order = order,
-                          .task = {.job = owner.submission.id, .step = step_number, .index = index},
-                          .run = item.next_run,
-                          .room = each.spec.room,
-                          .estimate = each.spec.estimate,
-                          .latest_start = std::max(LatestStart(owner, now) - now, duration::zero()),
-                          .max_wait = options_.agent_wait});
+  duration latest_start = std::max(LatestStart(owner, now) - now, duration::zero());
+  batch.orders.push_back(
+      {.order = order,
+       .task = {.job = owner.submission.id, .step = step_number, .index = index},
+       .run = item.next_run,
+       .room = each.spec.room,
+       .estimate = each.spec.estimate,
+       .latest_start = latest_start,
+       .max_wait = std::clamp(latest_start, options_.least_agent_wait, options_.most_agent_wait)});
   return true;
 }
 
--- a/libraries/board/job_board.h
+++ b/libraries/board/job_board.h
@@ -28,8 +28,13 @@
   duration silence_limit = std::chrono::milliseconds(600);
   /// A job is answered this long before its caller stops waiting.
   duration answer_margin = std::chrono::milliseconds(30);
-  /// How long an agent may let a task wait for room before it gives it back.
-  duration agent_wait = std::chrono::milliseconds(60);
+  /// How long an agent may let a task wait for room before it gives it back, at least and at most;
+  /// in between, as long as its start still meets the objective.
+  duration least_agent_wait = std::chrono::milliseconds(60);
+  duration most_agent_wait = std::chrono::milliseconds(200);
+  /// An entry that has no target to offer takes jobs for this long all the same: after a restart or
+  /// a cut the agents are about to come back.
+  duration target_grace = std::chrono::milliseconds(1500);
   /// Way there and back between an entry and a target.
   duration round_trip = std::chrono::milliseconds(6);
   /// Longest and shortest time after which a refused caller is asked to come back.
@@ -122,6 +127,7 @@
   instant LatestStart(const job& candidate, instant now) const;
   void Release(job& owner);
   void PlaceJob(job& owner, instant now, bool& room_left);
+  target_table::need NeedOf(const job& owner, const step& each, instant now) const;
   bool PlaceTask(job& owner, uint32_t step_number, uint32_t index, order_batch& batch, instant now);
   void TaskFailed(job& owner, task& failed, const std::string& agent, instant now);
   void Answer(const std::string& id, const job_answer& answer, instant now);
@@ -141,6 +147,7 @@
   std::unordered_map<job_serial, std::string> requests_;
   std::unordered_map<uint64_t, order_place> orders_;
   uint64_t next_order_ = 1;
+  std::optional<instant> without_targets_since_;  ///< nothing while some target is in use
 };
 
 }  // namespace wagtail::leased
--- a/libraries/board/target_table.cc
+++ b/libraries/board/target_table.cc
@@ -74,37 +74,63 @@
   return Scaled(mean, std::max(missing, 0.0) / static_cast<double>(load.capacity.cpu));
 }
 
+bool target_table::MeetsObjective(const row& target, const need& wanted, duration wait) const {
+  if (!wanted.time_left.has_value()) {
+    return true;
+  }
+  duration run = Scaled(wanted.estimate, target.report.load.slowness);
+  return options_.round_trip + wait + run <= *wanted.time_left;
+}
+
+double target_table::ScoreOf(const row& target, const need& wanted, duration wait) const {
+  duration run = Scaled(wanted.estimate, target.report.load.slowness);
+  double used = 1 - static_cast<double>(std::max<int64_t>(FreeNow(target).cpu, 0)) /
+                        static_cast<double>(target.report.load.capacity.cpu);
+  return static_cast<double>(wait.count()) +
+         static_cast<double>(run.count()) * (1 + options_.crowding * used);
+}
+
+bool target_table::MayGetTask(const row& target, const need& wanted, instant now) const {
+  if (!Usable(target, wanted, now)) {
+    return false;
+  }
+  if (IsFailing(target) && now - target.last_trial < options_.trial_pause) {
+    return false;
+  }
+  return wanted.avoided == nullptr ||
+         std::ranges::find(*wanted.avoided, target.agent.address) == wanted.avoided->end();
+}
+
 std::optional<target_table::choice> target_table::Choose(const need& wanted, instant now) const {
-  std::optional<choice> best;
-  double best_score = 0;
+  std::optional<choice> in_time;
+  std::optional<choice> late;
+  double in_time_score = 0;
+  double late_score = 0;
+  bool in_time_elsewhere = false;
   for (const auto& [session, target] : rows_) {
-    if (!Usable(target, wanted, now)) {
-      continue;
-    }
-    if (IsFailing(target) && now - target.last_trial < options_.trial_pause) {
-      continue;
-    }
-    bool avoided =
-        wanted.avoided != nullptr &&
-        std::ranges::find(*wanted.avoided, target.agent.address) != wanted.avoided->end();
-    if (avoided) {
+    if (!MayGetTask(target, wanted, now)) {
       continue;
     }
     duration wait = WaitAt(target, wanted);
+    bool meets = MeetsObjective(target, wanted, wait);
     if (wait > options_.queue_ahead) {
+      in_time_elsewhere |= meets;
       continue;
     }
-    duration run = Scaled(wanted.estimate, target.report.load.slowness);
-    double used = 1 - static_cast<double>(std::max<int64_t>(FreeNow(target).cpu, 0)) /
-                          static_cast<double>(target.report.load.capacity.cpu);
-    double score = static_cast<double>(wait.count()) +
-                   static_cast<double>(run.count()) * (1 + options_.crowding * used);
+    std::optional<choice>& best = meets ? in_time : late;
+    double& best_score = meets ? in_time_score : late_score;
+    double score = ScoreOf(target, wanted, wait);
     if (!best.has_value() || score < best_score) {
+      duration run = Scaled(wanted.estimate, target.report.load.slowness);
       best = {.session = session, .wait = wait, .run = run};
       best_score = score;
     }
   }
-  return best;
+  if (in_time.has_value()) {
+    return in_time;
+  }
+  // Waiting for a faster target beats being late on a slow one that is free.
+  return in_time_elsewhere ? std::nullopt : late;
 }
 
 std::optional<duration> target_table::BestRun(const need& wanted, instant now) const {
--- a/libraries/board/target_table.h
+++ b/libraries/board/target_table.h
@@ -22,6 +22,8 @@
   duration trial_pause = std::chrono::milliseconds(500);
   /// How much a full target counts as slower than an empty one.
   double crowding = 0.3;
+  /// Way of an order and its result between an entry and a target.
+  duration round_trip = std::chrono::milliseconds(6);
 };
 
 /// The targets as one entry sees them: what their agents reported, less what was ordered since.
@@ -38,6 +40,8 @@
     task_room room;
     duration estimate{0};
     const std::vector<std::string>* avoided = nullptr;  ///< addresses of agents, may be null
+    /// Time left to the objective if the estimate is right; nothing if any target will do.
+    std::optional<duration> time_left{};
   };
 
   explicit target_table(target_table_options options) : options_(options) {}
@@ -82,6 +86,9 @@
   bool IsFailing(const row& target) const;
   static task_room FreeNow(const row& target);
   duration WaitAt(const row& target, const need& wanted) const;
+  bool MayGetTask(const row& target, const need& wanted, instant now) const;
+  double ScoreOf(const row& target, const need& wanted, duration wait) const;
+  bool MeetsObjective(const row& target, const need& wanted, duration wait) const;
 
   target_table_options options_;
   std::map<session_id, row> rows_;
--- a/libraries/leases/run_events.h
+++ b/libraries/leases/run_events.h
@@ -91,6 +91,7 @@
   std::shared_ptr<const std::string> text{};
   int64_t lease_until_ms = 0;  ///< on the target's clock
   uint64_t fence = 0;
+  duration limit{0};  ///< without an answer by then it is unknown what became of the start
 };
 
 /// Asks the target to stop a run.
@@ -112,6 +113,7 @@
   uint64_t fence = 0;
   uint64_t last_end = 0;  ///< ends up to this number are acknowledged
   duration wait{0};       ///< the answer waits this long for an end
+  duration limit{0};      ///< without an answer by then the renewal has failed
 };
 
 using target_call = std::variant<start_call, stop_call, renew_call>;
--- a/libraries/leases/run_keeper.cc
+++ b/libraries/leases/run_keeper.cc
@@ -267,7 +267,8 @@
                    .run = entry.number,
                    .text = entry.order.text,
                    .lease_until_ms = *lease,
-                   .fence = fence_});
+                   .fence = fence_,
+                   .limit = options_.answer_limit});
 }
 
 void run_keeper::Stop(uint64_t serial, run& entry, std::string reason, instant now) {
@@ -362,7 +363,17 @@
                    .lease_until_ms = lease,
                    .fence = fence_,
                    .last_end = life_->last_end,
-                   .wait = wait});
+                   .wait = wait,
+                   .limit = wait + (now < careful_until_ ? options_.answer_limit
+                                                         : options_.renew_answer_limit)});
+}
+
+void run_keeper::RenewInTurn(instant now) {
+  if (now < careful_until_) {
+    Renew(options_.careful_renew_wait, now);
+  } else {
+    Renew(runs_.empty() ? options_.idle_renew_wait : options_.renew_wait, now);
+  }
 }
 
 void run_keeper::StartAnswered(uint64_t serial, start_answer answer,
@@ -394,6 +405,7 @@
       return;
     case start_answer::kUnknown:
       Note("start_unanswered", entry, "");
+      careful_until_ = now + options_.careful_time;
       entry.state = run_state::kDoubtful;
       if (entry.fence == fence_) {
         ++fence_;
@@ -464,7 +476,7 @@
   next_renewal_ = now;
   StartWhatFits(now);
   if (renewals_.empty()) {
-    Renew(runs_.empty() ? options_.idle_renew_wait : options_.renew_wait, now);
+    RenewInTurn(now);
   }
 }
 
@@ -549,6 +561,9 @@
     return;
   }
   Expire(now);
+  if (failure == renew_failure::kNoAnswer) {
+    careful_until_ = now + options_.careful_time;
+  }
   if (failure == renew_failure::kFenced) {
     fence_ += kFenceJump;
   }
--- a/libraries/leases/run_keeper.h
+++ b/libraries/leases/run_keeper.h
@@ -26,6 +26,15 @@
   duration renew_wait = std::chrono::milliseconds(150);
   /// The same while nothing runs; a start grants a lease of its own.
   duration idle_renew_wait = std::chrono::milliseconds(400);
+  /// How long to wait for an answer to a start, and to a renewal past what it waits for an end. A
+  /// target on the same VM answers in a few milliseconds; a start that is given up wrongly turns
+  /// out to run and goes on.
+  duration answer_limit = std::chrono::milliseconds(40);
+  duration renew_answer_limit = std::chrono::milliseconds(100);
+  /// After a call without an answer, renewals wait and are waited for only this long, so that ends
+  /// are not missed for long when more answers are lost.
+  duration careful_renew_wait = std::chrono::milliseconds(30);
+  duration careful_time = std::chrono::seconds(2);
   /// How long an entry's answer to a report vouches for its runs, from when the report was sent.
   duration vouch = std::chrono::milliseconds(450);
   /// A stop that is not confirmed is asked for again after this.
@@ -144,6 +153,7 @@
   void RetryStops(instant now);
   void RaiseFence(instant now);
   void Renew(duration wait, instant now);
+  void RenewInTurn(instant now);
   std::optional<int64_t> NextLease(instant now);
   void TakeEnds(const target_report& report, instant now);
   void TakeRunning(uint64_t serial, uint64_t fence, const target_report& report, instant now);
@@ -173,6 +183,7 @@
   /// Renewals without an answer, by serial: the fence they carried.
   std::map<uint64_t, uint64_t> renewals_;
   instant next_renewal_{};
+  instant careful_until_{};
   std::optional<instant> lapse_by_;  ///< no lease that was given reaches past this
   bool leaving_ = false;
 };
--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -27,9 +27,9 @@
   instant last_report{};
   uint64_t plan_known = 0;  ///< revision that the entry is known to have
   uint64_t orders_seen = 0;
-  uint64_t rank = 0;           ///< entries with lower ranks are preferred
-  instant retired{};           ///< when the session became one too many, or the beginning of time
-  target_status told{};        ///< the load as it was last reported
+  uint64_t rank = 0;     ///< entries with lower ranks are preferred
+  instant retired{};     ///< when the session became one too many, or the beginning of time
+  target_status told{};  ///< the load as it was last reported
   std::vector<run_result> results{};
 };
 
--- a/tests/one_run/one_run_world.cc
+++ b/tests/one_run/one_run_world.cc
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr duration kTick = std::chrono::milliseconds(10);
-constexpr duration kCallTimeout = std::chrono::milliseconds(150);
 constexpr duration kReportPause = std::chrono::milliseconds(100);
 constexpr duration kSilence = std::chrono::milliseconds(600);
 constexpr duration kHeartbeat = std::chrono::milliseconds(1500);
@@ -417,7 +416,7 @@
         }
       }
     });
-    time_.After(kCallTimeout, [answer] { answer(start_answer::kUnknown, std::nullopt); });
+    time_.After(start->limit, [answer] { answer(start_answer::kUnknown, std::nullopt); });
   } else if (const auto* stop = std::get_if<stop_call>(&call)) {
     time_.After(way, [&agent, call = *stop] {
       if (agent.target->up()) {
@@ -449,8 +448,7 @@
             }
           });
     });
-    time_.After(renewal->wait + kCallTimeout,
-                [answer] { answer(std::nullopt, renew_failure::kNoAnswer); });
+    time_.After(renewal->limit, [answer] { answer(std::nullopt, renew_failure::kNoAnswer); });
   }
 }
 
