Bring targets and connections back sooner; late jobs go after those that can be in time

Cause: after the final faults the first second was lost: agents waited up to 1.5 s for their target's next announcement, and for a back-off of up to 1.5 s for entries that started after them. On a planned stop callers kept their open connections and got refusals for 3 s. In overload jobs that were late already took room before jobs that could be in time. Change: agents leave their target in the store (one row a life of the target) and recall it; lost entries are tried every 300 ms at the latest; a stopping entry closes connections after their next answer once the balancer has noticed, and takes work until 1.5 s before its end; late jobs last.

--- a/libraries/board/job_board.cc
+++ b/libraries/board/job_board.cc
@@ -333,6 +333,7 @@
 
 void job_board::Place(instant now) {
   struct waiting_job {
+    bool late = false;  ///< can no longer meet its objective: goes after those that can
     instant latest_start;
     unsigned priority = 0;
     job* owner = nullptr;
@@ -343,13 +344,15 @@
       return std::ranges::find(each.tasks, task_state::kWaiting, &task::state) != each.tasks.end();
     });
     if (has_waiting) {
-      waiting.push_back({.latest_start = LatestStart(owner, now),
+      instant latest_start = LatestStart(owner, now);
+      waiting.push_back({.late = latest_start < now,
+                         .latest_start = latest_start,
                          .priority = owner.submission.queue.priority,
                          .owner = &owner});
     }
   }
   std::ranges::sort(waiting, {}, [](const waiting_job& item) {
-    return std::tuple(item.latest_start, item.priority, item.owner->submission.id);
+    return std::tuple(item.late, item.latest_start, item.priority, item.owner->submission.id);
   });
   bool room_left = true;
   for (const waiting_job& item : waiting) {
--- a/libraries/session/entry_links.h
+++ b/libraries/session/entry_links.h
@@ -38,7 +38,7 @@
   duration silence_limit = std::chrono::milliseconds(600);
   /// Pause before another try, doubled up to the second value.
   duration first_retry = std::chrono::milliseconds(100);
-  duration longest_retry = std::chrono::milliseconds(1500);
+  duration longest_retry = std::chrono::milliseconds(300);
   /// An address that nobody names any more is dropped after this.
   duration forget_after = std::chrono::seconds(60);
 };
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -76,6 +76,7 @@
     MakeKeeper();
     MakeLinks();
     FollowStore();
+    RecallTarget();
     Tick();
   });
   control_server_ = TRY(platform::ServeAt(
@@ -195,6 +196,35 @@
   loop_.After(kTick, [this] { Tick(); });
 }
 
+void agent_service::TakeAnnouncement(const target_announcement& heard) {
+  bool news = !announced_.has_value() || announced_->id != heard.id ||
+              announced_->born != heard.born || announced_->draining != heard.draining;
+  keeper_->Announced(heard, BootTimeNow());
+  if (news) {
+    LogFact(log_level::kInfo, "target_announced",
+            {{"target", heard.id},
+             {"born", heard.born},
+             {"service", heard.service},
+             {"draining", heard.draining},
+             {"cpu", heard.capacity.cpu}});
+    announced_ = heard;
+    platform::RememberTarget(*store_, settings_.SessionAddress(settings_.ip), heard);
+  }
+  Changed();
+}
+
+void agent_service::RecallTarget() {
+  platform::RecallTarget(
+      *store_, settings_.SessionAddress(settings_.ip), [this](const target_announcement& known) {
+        if (announced_.has_value()) {
+          return;
+        }
+        LogFact(log_level::kInfo, "target_recalled", {{"target", known.id}, {"born", known.born}});
+        announced_ = known;
+        keeper_->Announced(known, BootTimeNow());
+      });
+}
+
 http_response agent_service::AnswerControl(const http_request& request) {
   constexpr std::string_view kHeartbeat = "/-/Instances.Heartbeat/";
   constexpr std::string_view kDeparture = "/-/Instances.Deregister/";
@@ -219,19 +249,7 @@
             {{"error", MessageOf(announcement.status())}});
     return {.status = kBadRequest, .headers = {}, .body = "{}"};
   }
-  loop_.Post([this, heard = *std::move(announcement)] {
-    target_status before = keeper_->Load();
-    keeper_->Announced(heard, BootTimeNow());
-    if (before.target != heard.id || before.state != keeper_->Load().state) {
-      LogFact(log_level::kInfo, "target_announced",
-              {{"target", heard.id},
-               {"born", heard.born},
-               {"service", heard.service},
-               {"draining", heard.draining},
-               {"cpu", heard.capacity.cpu}});
-    }
-    Changed();
-  });
+  loop_.Post([this, heard = *std::move(announcement)] { TakeAnnouncement(heard); });
   return {.status = 200, .headers = {{"content-type", "application/json"}}, .body = "{}"};
 }
 
--- a/services/agentd/agent_service.h
+++ b/services/agentd/agent_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
   void MakeKeeper();
   void MakeLinks();
   void FollowStore();
+  void RecallTarget();
+  void TakeAnnouncement(const target_announcement& heard);
   void Tick();
   void TakePlan(operating_plan plan);
   void TakeResult(const run_result& result);
@@ -52,6 +55,7 @@
   std::unique_ptr<platform::store_client> store_;
   std::unique_ptr<table_follower> plan_follower_;
   std::unique_ptr<table_follower> fleet_follower_;
+  std::optional<target_announcement> announced_;  ///< the last that said something new
   bool flush_posted_ = false;
   // Threads of their own; ended first.
   std::unique_ptr<http_server> control_server_;
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -22,12 +22,23 @@
 constexpr duration kPlanWait = std::chrono::milliseconds(1000);
 /// An entry that no agent has named for this long is no longer passed on.
 constexpr duration kEntryMemory = std::chrono::seconds(10);
-/// After a request to stop, new work is still taken for this long: the balancer needs it to notice.
-constexpr duration kLastIntake = std::chrono::milliseconds(2500);
+/// After a request to stop the balancer goes on sending connections for this long.
+constexpr duration kBalancerNotices = std::chrono::milliseconds(2000);
+/// New work is taken until this long before the process ends: callers keep using their connections.
+constexpr duration kLastWork = std::chrono::milliseconds(1500);
 /// Past a job's deadline its caller's thread waits this long for the answer.
 constexpr duration kAnswerGrace = std::chrono::seconds(2);
 constexpr std::array kAnswerSecondsBounds = {0.01, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0};
 
+constexpr duration kStopPoll = std::chrono::milliseconds(20);
+
+void SleepUntil(instant end) {
+  duration left = end - BootTimeNow();
+  if (left > duration::zero()) {
+    std::this_thread::sleep_for(left);
+  }
+}
+
 std::string_view NameOf(job_outcome outcome) {
   switch (outcome) {
     case job_outcome::kCompleted:
@@ -84,7 +95,11 @@
   ready_server_ = TRY(platform::ServeAt(
       settings_.ready, [this](const http_request& /*request*/) { return AnswerReady(); }));
   front_server_ = TRY(platform::ServeAt(settings_.front, [this](const http_request& request) {
-    return RunFrontFilters(filters_, request);
+    http_response response = RunFrontFilters(filters_, request);
+    if (closing_) {
+      response.headers["connection"] = "close";
+    }
+    return response;
   }));
   if (!settings_.control.empty()) {
     // Targets announce themselves to the agents on their own VMs.
@@ -310,19 +325,20 @@
 }
 
 void dispatch_service::Stop(duration limit) {
-  constexpr auto kPoll = std::chrono::milliseconds(20);
   instant begin = BootTimeNow();
   leaving_ = true;
-  while (BootTimeNow() < begin + std::min(limit, kLastIntake)) {
-    std::this_thread::sleep_for(kPoll);
-  }
+  SleepUntil(begin + std::min(limit, kBalancerNotices));
+  // From now on a caller that connects anew gets to another entry.
+  closing_ = true;
+  SleepUntil(begin + limit - kLastWork);
   refusing_ = true;
   size_t left = 1;
   while (left > 0 && BootTimeNow() < begin + limit) {
-    std::this_thread::sleep_for(kPoll);
+    SleepUntil(BootTimeNow() + kStopPoll);
     loop_.Run([this, &left] { left = board_->jobs(); });
   }
-  std::this_thread::sleep_for(kPoll);
+  // The last answers leave.
+  SleepUntil(BootTimeNow() + kStopPoll);
 }
 
 }  // namespace wagtail::leased
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -59,6 +59,7 @@
   snapshot_cell<operating_plan> shared_plan_;  ///< read by the threads of connections
   std::atomic<bool> refusing_ = false;         ///< no new work is taken
   std::atomic<bool> leaving_ = false;          ///< the process has been asked to stop
+  std::atomic<bool> closing_ = false;          ///< connections are closed after their next answer
   std::atomic<size_t> targets_in_use_ = 0;
   std::atomic<job_serial> next_serial_ = 1;
   std::vector<front_filter> filters_;
--- a/tests/platform/target_json_test.cc
+++ b/tests/platform/target_json_test.cc
@@ -98,6 +98,18 @@
   CHECK(!announcement->draining);
 }
 
+TEST(TargetJson, AnAnnouncementSurvivesTheStore) {
+  leased::target_announcement heard = *ReadAnnouncement("i-7", kHeartbeat);
+  heard.draining = true;
+  auto recalled = ReadAnnouncement("", WriteAnnouncement(heard));
+  CHECK(recalled.ok());
+  STRCMP_EQUAL("i-7", recalled->id.c_str());
+  CHECK(recalled->draining);
+  CHECK(recalled->capacity == heard.capacity);
+  CHECK(recalled->born == heard.born);
+  CHECK(!recalled->clock_ms.has_value());
+}
+
 TEST(TargetJson, AnIncompleteAnnouncementNamesNoTarget) {
   CHECK(!ReadAnnouncement("i-7", "").ok());
   CHECK(!ReadAnnouncement("i-7", "[]").ok());
