Count waiting and unsettled tasks, say less in each report

Change: counters instead of searches, the best speed of a service worked out every 20 ms, entries named when they change and every 2 s; the log line job_ended, which job_answered repeats, is gone.

--- a/libraries/board/job_board.cc
+++ b/libraries/board/job_board.cc
@@ -90,7 +90,8 @@
   instant own_start = LatestStart(candidate, now);
   double work = 0;  // thousandths of a core times microseconds
   for (const auto& [id, other] : jobs_) {
-    if (other.submission.queue.service != candidate.submission.queue.service ||
+    if (other.waiting == 0 ||
+        other.submission.queue.service != candidate.submission.queue.service ||
         LatestStart(other, now) > own_start) {
       continue;
     }
@@ -120,12 +121,25 @@
 }
 
 instant job_board::LatestStart(const job& candidate, instant now) const {
-  target_table::need wanted{
-      .service = candidate.submission.queue.service, .room = {}, .estimate = candidate.longest};
-  duration run = targets_.BestRun(wanted, now).value_or(candidate.longest);
+  duration run = targets_.BestRun(candidate.submission.queue.service, candidate.longest, now)
+                     .value_or(candidate.longest);
   return candidate.objective - run - options_.round_trip;
 }
 
+void job_board::SetState(job& owner, task& item, task_state state) {
+  auto count = [&](task_state which, int step) {
+    if (which == task_state::kWaiting) {
+      owner.waiting += step;
+      waiting_ += step;
+    } else if (which == task_state::kUnsettled) {
+      unsettled_ += step;
+    }
+  };
+  count(item.state, -1);
+  item.state = state;
+  count(state, 1);
+}
+
 void job_board::Release(job& owner) {
   for (step& each : owner.steps) {
     bool ready = std::ranges::all_of(each.spec.after, [&](uint32_t before) {
@@ -136,13 +150,13 @@
     }
     for (task& item : each.tasks) {
       if (item.state == task_state::kBlocked) {
-        item.state = task_state::kWaiting;
+        SetState(owner, item, task_state::kWaiting);
       }
     }
   }
 }
 
-void job_board::CallerGone(job_serial serial, instant now) {
+void job_board::CallerGone(job_serial serial) {
   auto request = requests_.find(serial);
   if (request == requests_.end()) {
     return;
@@ -153,16 +167,16 @@
   std::erase(owner.requests, serial);
   if (owner.requests.empty()) {
     Note("caller_gone", id, "");
-    Answer(id, {.outcome = job_outcome::kCancelled, .reason = "caller_gone"}, now);
+    Answer(id, {.outcome = job_outcome::kCancelled, .reason = "caller_gone"});
   }
 }
 
-bool job_board::Cancel(std::string_view id, instant now) {
+bool job_board::Cancel(std::string_view id) {
   std::string key(id);
   if (!jobs_.contains(key)) {
     return false;
   }
-  Answer(key, {.outcome = job_outcome::kCancelled, .reason = "cancelled"}, now);
+  Answer(key, {.outcome = job_outcome::kCancelled, .reason = "cancelled"});
   return true;
 }
 
@@ -179,13 +193,16 @@
 }
 
 void job_board::SettleAgent(const std::string& address, instant now, bool at_once) {
+  if (unsettled_ == 0) {
+    return;
+  }
   for (auto& [id, owner] : jobs_) {
     for (step& each : owner.steps) {
       for (task& item : each.tasks) {
         bool over = item.state == task_state::kUnsettled &&
                     ((at_once && item.agent == address) || item.safe_at <= now);
         if (over) {
-          item.state = task_state::kWaiting;
+          SetState(owner, item, task_state::kWaiting);
           Note("task_settled", id, item.agent);
         }
       }
@@ -197,7 +214,7 @@
   return owner.steps[place.step].tasks[place.index];
 }
 
-void job_board::Result(const run_result& result, instant now) {
+void job_board::Result(const run_result& result) {
   auto found = orders_.find(result.order);
   if (found == orders_.end()) {
     return;
@@ -216,39 +233,39 @@
   }
   switch (result.outcome) {
     case run_outcome::kDone:
-      item.state = task_state::kDone;
+      SetState(owner, item, task_state::kDone);
       ++owner.steps[place.step].done;
       owner.longest = Longest(owner);
       if (NothingLeft(owner)) {
-        Answer(place.job, {.outcome = job_outcome::kCompleted}, now);
+        Answer(place.job, {.outcome = job_outcome::kCompleted});
       } else {
         Release(owner);
       }
       return;
     case run_outcome::kFailed:
-      TaskFailed(owner, item, item.agent, now);
+      TaskFailed(owner, item, item.agent);
       return;
     case run_outcome::kNotStarted:
       item.next_run = result.run == 0 ? item.next_run : result.run;
       if (result.reason != "no_room") {
         item.avoided.push_back(item.agent);
       }
-      item.state = task_state::kWaiting;
+      SetState(owner, item, task_state::kWaiting);
       return;
     case run_outcome::kStopped:
     case run_outcome::kLost:
-      item.state = task_state::kWaiting;
+      SetState(owner, item, task_state::kWaiting);
       return;
   }
 }
 
-void job_board::TaskFailed(job& owner, task& failed, const std::string& agent, instant now) {
+void job_board::TaskFailed(job& owner, task& failed, const std::string& agent) {
   ++failed.failures;
   failed.avoided.push_back(agent);
-  failed.state = task_state::kWaiting;
+  SetState(owner, failed, task_state::kWaiting);
   if (failed.failures >= owner.submission.queue.max_attempts) {
     std::string id = owner.submission.id;
-    Answer(id, {.outcome = job_outcome::kFailed, .reason = "attempts_used"}, now);
+    Answer(id, {.outcome = job_outcome::kFailed, .reason = "attempts_used"});
   }
 }
 
@@ -273,7 +290,7 @@
           continue;
         }
         orders_.erase(item.order);
-        item.state = task_state::kUnsettled;
+        SetState(owner, item, task_state::kUnsettled);
         item.safe_at = safe_at;
         ++item.next_run;
         owner.started = true;
@@ -316,21 +333,10 @@
     }
   }
   for (const auto& [id, answer] : ended) {
-    Answer(id, answer, now);
+    Answer(id, answer);
   }
 }
 
-size_t job_board::waiting_tasks() const {
-  size_t waiting = 0;
-  for (const auto& [id, owner] : jobs_) {
-    for (const step& each : owner.steps) {
-      waiting +=
-          static_cast<size_t>(std::ranges::count(each.tasks, task_state::kWaiting, &task::state));
-    }
-  }
-  return waiting;
-}
-
 void job_board::Place(instant now) {
   struct waiting_job {
     bool late = false;  ///< can no longer meet its objective: goes after those that can
@@ -338,12 +344,12 @@
     unsigned priority = 0;
     job* owner = nullptr;
   };
+  if (waiting_ == 0) {
+    return;
+  }
   std::vector<waiting_job> waiting;
   for (auto& [id, owner] : jobs_) {
-    bool has_waiting = std::ranges::any_of(owner.steps, [](const step& each) {
-      return std::ranges::find(each.tasks, task_state::kWaiting, &task::state) != each.tasks.end();
-    });
-    if (has_waiting) {
+    if (owner.waiting > 0) {
       instant latest_start = LatestStart(owner, now);
       waiting.push_back({.late = latest_start < now,
                          .latest_start = latest_start,
@@ -415,7 +421,7 @@
     return false;
   }
   uint64_t order = next_order_++;
-  item.state = task_state::kPlaced;
+  SetState(owner, item, task_state::kPlaced);
   item.order = order;
   item.session = chosen->session;
   item.agent = targets_.Agent(chosen->session)->address;
@@ -444,17 +450,17 @@
         orders_.erase(item.order);
         withdraw_(item.session, item.order);
       }
+      // What is not done any more is not counted any more.
+      SetState(owner, item, task_state::kBlocked);
     }
   }
 }
 
-void job_board::Answer(const std::string& id, const job_answer& answer, instant now) {
+void job_board::Answer(const std::string& id, const job_answer& answer) {
   auto found = jobs_.find(id);
   job owner = std::move(found->second);
   jobs_.erase(found);
   WithdrawAll(owner);
-  Note("job_ended", owner.submission.id,
-       answer.reason + " after " + std::to_string(ToMilliseconds(now - owner.arrived)) + " ms");
   for (job_serial serial : owner.requests) {
     requests_.erase(serial);
     answer_(serial, answer);
--- a/libraries/board/job_board.h
+++ b/libraries/board/job_board.h
@@ -63,15 +63,15 @@
   /// Takes a request; it is answered through the answer hook, perhaps before this returns.
   void Submit(job_serial serial, job_submission submission, instant now);
   /// The caller of this request is gone.
-  void CallerGone(job_serial serial, instant now);
+  void CallerGone(job_serial serial);
   /// The caller wants the job ended.
   /// @return whether this board has it
-  bool Cancel(std::string_view job, instant now);
+  bool Cancel(std::string_view job);
 
   void Plan(const operating_plan& plan) { targets_.Plan(plan); }
   void Opened(session_id session, const agent_identity& agent, instant now);
   void Reported(session_id session, const session_report& report, instant now);
-  void Result(const run_result& result, instant now);
+  void Result(const run_result& result);
   /// The connection is gone.
   void Closed(session_id session, instant now);
   /// Passes time: deadlines, silent agents, tasks that may be placed again. To be called every few
@@ -85,7 +85,7 @@
   size_t jobs() const { return jobs_.size(); }
   bool Knows(const std::string& job) const { return jobs_.contains(job); }
   size_t targets_in_use(instant now) const { return targets_.InUse(now); }
-  size_t waiting_tasks() const;
+  size_t waiting_tasks() const { return static_cast<size_t>(waiting_); }
 
  private:
   enum class task_state { kBlocked, kWaiting, kPlaced, kUnsettled, kDone };
@@ -113,6 +113,7 @@
     instant deadline;      ///< when it is to be answered at the latest
     duration longest{0};   ///< chain of steps, by their estimates
     bool started = false;  ///< a target may have run something of it
+    int waiting = 0;       ///< tasks that wait to be placed
   };
   struct order_place {
     std::string job;
@@ -129,8 +130,9 @@
   void PlaceJob(job& owner, instant now, bool& room_left);
   target_table::need NeedOf(const job& owner, const step& each, instant now) const;
   bool PlaceTask(job& owner, uint32_t step_number, uint32_t index, order_batch& batch, instant now);
-  void TaskFailed(job& owner, task& failed, const std::string& agent, instant now);
-  void Answer(const std::string& id, const job_answer& answer, instant now);
+  void TaskFailed(job& owner, task& failed, const std::string& agent);
+  void Answer(const std::string& id, const job_answer& answer);
+  void SetState(job& owner, task& item, task_state state);
   void WithdrawAll(job& owner);
   void SettleAgent(const std::string& address, instant now, bool at_once);
   task& TaskAt(job& owner, const order_place& place);
@@ -147,6 +149,8 @@
   std::unordered_map<job_serial, std::string> requests_;
   std::unordered_map<uint64_t, order_place> orders_;
   uint64_t next_order_ = 1;
+  int waiting_ = 0;    ///< tasks of all jobs that wait to be placed
+  int unsettled_ = 0;  ///< tasks of all jobs that may still run where they are lost
   std::optional<instant> without_targets_since_;  ///< nothing while some target is in use
 };
 
--- a/libraries/board/target_table.cc
+++ b/libraries/board/target_table.cc
@@ -7,6 +7,8 @@
 
 /// Stands in for the mean duration of runs until a target has told one.
 constexpr duration kDefaultMeanRun = std::chrono::milliseconds(200);
+/// Age at which the speed of the fastest target is worked out anew.
+constexpr duration kBestSpeedAge = std::chrono::milliseconds(20);
 
 duration Scaled(duration span, double factor) {
   return duration(static_cast<int64_t>(static_cast<double>(span.count()) * factor));
@@ -133,17 +135,29 @@
   return in_time_elsewhere ? std::nullopt : late;
 }
 
-std::optional<duration> target_table::BestRun(const need& wanted, instant now) const {
-  std::optional<duration> best;
+std::optional<double> target_table::BestSlowness(std::string_view service, instant now) const {
+  auto known = best_speeds_.find(service);
+  if (known != best_speeds_.end() && now - known->second.at < kBestSpeedAge) {
+    return known->second.slowness;
+  }
+  need any{.service = service, .room = {}, .estimate = {}};
+  std::optional<double> best;
   for (const auto& [session, target] : rows_) {
-    if (Usable(target, wanted, now)) {
-      duration run = Scaled(wanted.estimate, target.report.load.slowness);
-      best = best.has_value() ? std::min(*best, run) : run;
+    if (Usable(target, any, now)) {
+      double slowness = target.report.load.slowness;
+      best = best.has_value() ? std::min(*best, slowness) : slowness;
     }
   }
+  best_speeds_[std::string(service)] = {.at = now, .slowness = best};
   return best;
 }
 
+std::optional<duration> target_table::BestRun(std::string_view service, duration estimate,
+                                              instant now) const {
+  std::optional<double> slowness = BestSlowness(service, now);
+  return slowness.has_value() ? std::optional(Scaled(estimate, *slowness)) : std::nullopt;
+}
+
 bool target_table::CouldHold(const need& wanted, instant now) const {
   return std::ranges::any_of(rows_,
                              [&](const auto& item) { return Usable(item.second, wanted, now); });
--- a/libraries/board/target_table.h
+++ b/libraries/board/target_table.h
@@ -55,8 +55,9 @@
 
   /// @return the target that is expected to finish the task first, if one can start it soon
   std::optional<choice> Choose(const need& wanted, instant now) const;
-  /// @return predicted duration on the fastest target in use, whether it has room or not
-  std::optional<duration> BestRun(const need& wanted, instant now) const;
+  /// @return predicted duration on the fastest target in use, whether it has room or not; may be
+  ///   some milliseconds old
+  std::optional<duration> BestRun(std::string_view service, duration estimate, instant now) const;
   /// @return whether any target in use could ever hold the task
   bool CouldHold(const need& wanted, instant now) const;
 
@@ -82,6 +83,12 @@
     std::vector<unseen_order> unseen;
   };
 
+  struct best_speed {
+    instant at;
+    std::optional<double> slowness{};
+  };
+
+  std::optional<double> BestSlowness(std::string_view service, instant now) const;
   bool Usable(const row& target, const need& wanted, instant now) const;
   bool IsFailing(const row& target) const;
   static task_room FreeNow(const row& target);
@@ -93,6 +100,8 @@
   target_table_options options_;
   std::map<session_id, row> rows_;
   std::set<std::string> leaving_domains_;
+  /// By service: asked for each job in each turn, and changing slowly.
+  mutable std::map<std::string, best_speed, std::less<>> best_speeds_;
 };
 
 }  // namespace wagtail::leased
--- a/libraries/session/agent_sessions.cc
+++ b/libraries/session/agent_sessions.cc
@@ -99,7 +99,11 @@
     Write(plan, reply.initPlan());
   }
   std::vector<std::string> entries = hooks_.entries();
-  Write(entries, reply.initOtherEntries(static_cast<unsigned>(entries.size())));
+  auto open = sessions_.find(number);
+  if (open != sessions_.end() && open->second.told_entries != entries) {
+    Write(entries, reply.initOtherEntries(static_cast<unsigned>(entries.size())));
+    open->second.told_entries = std::move(entries);
+  }
   hooks_.after_message();
 }
 
--- a/libraries/session/agent_sessions.h
+++ b/libraries/session/agent_sessions.h
@@ -58,6 +58,7 @@
     session_wire::Agent::Client agent;
     std::vector<order_batch> orders{};
     std::vector<uint64_t> stops{};
+    std::vector<std::string> told_entries{};  ///< as last sent
   };
 
   session_id Join(agent_identity identity, session_wire::Agent::Client agent);
--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -30,6 +30,8 @@
   uint64_t rank = 0;     ///< entries with lower ranks are preferred
   instant retired{};     ///< when the session became one too many, or the beginning of time
   target_status told{};  ///< the load as it was last reported
+  std::vector<std::string> told_entries{};
+  instant entries_told_at{};
   std::vector<run_result> results{};
 };
 
@@ -149,6 +151,7 @@
   target.answered = hooks_.now();
   target.plan_known = 0;
   target.orders_seen = 0;
+  target.told_entries.clear();
   target.results.clear();
   target.retired = {};
   LogFact(log_level::kInfo, "entry_joined", {{"entry", target.address}, {"session", session}});
@@ -272,8 +275,13 @@
       target.plan_known = plan.revision;
       Write(plan, report.initPlan());
     }
+    // Said again now and then, since entries forget what nobody names.
     std::vector<std::string> open = Open();
-    Write(open, report.initOtherEntries(static_cast<unsigned>(open.size())));
+    if (open != target.told_entries || now - target.entries_told_at > options_.name_entries) {
+      Write(open, report.initOtherEntries(static_cast<unsigned>(open.size())));
+      target.told_entries = std::move(open);
+      target.entries_told_at = now;
+    }
     target.results.clear();
     target.told = load;
     target.last_report = now;
--- a/libraries/session/entry_links.h
+++ b/libraries/session/entry_links.h
@@ -39,6 +39,8 @@
   /// Pause before another try, doubled up to the second value.
   duration first_retry = std::chrono::milliseconds(100);
   duration longest_retry = std::chrono::milliseconds(300);
+  /// Entries with open sessions are named to the others at least this often.
+  duration name_entries = std::chrono::seconds(2);
   /// An address that nobody names any more is dropped after this.
   duration forget_after = std::chrono::seconds(60);
 };
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -146,7 +146,7 @@
   hooks.reported = [this](session_id session, const session_report& report) {
     board_->Reported(session, report, BootTimeNow());
   };
-  hooks.result = [this](const run_result& result) { board_->Result(result, BootTimeNow()); };
+  hooks.result = [this](const run_result& result) { board_->Result(result); };
   hooks.closed = [this](session_id session) {
     LogFact(log_level::kWarning, "agent_lost", {{"session", session}});
     board_->Closed(session, BootTimeNow());
@@ -263,7 +263,7 @@
   if (!answer.has_value()) {
     loop_.Post([this, serial] {
       waiting_.erase(serial);
-      board_->CallerGone(serial, BootTimeNow());
+      board_->CallerGone(serial);
       Changed();
     });
     answer = {.outcome = job_outcome::kAbandoned, .reason = "caller_gone"};
@@ -293,7 +293,7 @@
 http_response dispatch_service::Cancel(const front_request& request) {
   bool known = false;
   loop_.Run([&] {
-    known = board_->Cancel(request.job, BootTimeNow());
+    known = board_->Cancel(request.job);
     Changed();
   });
   LogFact(log_level::kInfo, "cancel_answered", {{"job", request.job}, {"known", known}});
--- a/tests/board/job_board_test.cc
+++ b/tests/board/job_board_test.cc
@@ -74,8 +74,7 @@
                   .task = order.task,
                   .outcome = outcome,
                   .reason = reason,
-                  .run = order.run},
-                 now);
+                  .run = order.run});
     board.Place(now);
   }
 };
@@ -144,7 +143,7 @@
   Submit(5, Job("a", 1));
   Submit(6, Job("a", 1));
   CHECK_EQUAL(1, orders.size());
-  board.CallerGone(5, now);
+  board.CallerGone(5);
   CHECK_EQUAL(0, withdrawn.size());
   End(orders[0], run_outcome::kDone);
   CHECK_EQUAL(1, answers.size());
@@ -154,7 +153,7 @@
 TEST(JobBoard, NobodyWaitsNothingRuns) {
   AddTarget(1);
   Submit(5, Job("a"));
-  board.CallerGone(5, now);
+  board.CallerGone(5);
   CHECK_EQUAL(2, withdrawn.size());
   CHECK_EQUAL(0, answers.size());
   CHECK_EQUAL(0, board.jobs());
@@ -163,10 +162,10 @@
 TEST(JobBoard, ACancelledJobIsAnswered) {
   AddTarget(1);
   Submit(5, Job("a"));
-  CHECK(board.Cancel("a", now));
+  CHECK(board.Cancel("a"));
   CHECK(answers.at(0).answer.outcome == job_outcome::kCancelled);
   CHECK_EQUAL(2, withdrawn.size());
-  CHECK(!board.Cancel("a", now));
+  CHECK(!board.Cancel("a"));
 }
 
 TEST(JobBoard, ATaskOfALostAgentWaitsUntilItCantRunAnyMore) {
--- a/tests/board/target_table_test.cc
+++ b/tests/board/target_table_test.cc
@@ -36,7 +36,7 @@
   Add(1, Report(2.0));
   Add(2, Report(0.8));
   CHECK_EQUAL(2, table.Choose(Need(), now)->session);
-  CHECK_EQUAL(80, ToMilliseconds(*table.BestRun(Need(), now)));
+  CHECK_EQUAL(80, ToMilliseconds(*table.BestRun("lights", Ms(100), now)));
 }
 
 TEST(TargetTable, CountsWhatItOrderedUntilTheAgentDoes) {
--- a/tests/one_run/one_run_world.cc
+++ b/tests/one_run/one_run_world.cc
@@ -377,7 +377,7 @@
       }
       held->entry->board->Reported(held->session, report, time_.now());
       for (const run_result& result : *results) {
-        held->entry->board->Result(result, time_.now());
+        held->entry->board->Result(result);
       }
       if (held->silent) {
         return;
@@ -507,7 +507,7 @@
     }
     Deliver(entry, life, [this, &entry, serial] {
       entry.callers.erase(serial);
-      entry.board->CallerGone(serial, time_.now());
+      entry.board->CallerGone(serial);
       Flush(entry);
     });
     SendAgain(who);
