Read what targets say in the adapter

Cause: the paths of heartbeats stood in the agent's service, outside platform/. Ruled out: leaving them as constants there; the platform's words stop in its folder. Change: platform/control_request reads them into a typed request.

--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -10,7 +10,7 @@
 #include "base/try.h"
 #include "logging/logging.h"
 #include "metrics/process_metrics.h"
-#include "platform/announcement_json.h"
+#include "platform/control_request.h"
 #include "platform/node_services.h"
 #include "platform/plan_json.h"
 #include "platform/task_name.h"
@@ -228,31 +228,21 @@
 }
 
 http_response agent_service::AnswerControl(const http_request& request) {
-  constexpr std::string_view kHeartbeat = "/-/Instances.Heartbeat/";
-  constexpr std::string_view kDeparture = "/-/Instances.Deregister/";
-  constexpr int kNotFound = 404;
-  constexpr int kBadRequest = 400;
-  if (request.path.starts_with(kDeparture)) {
-    std::string id = request.path.substr(kDeparture.size());
-    loop_.Post([this, id] {
-      LogFact(log_level::kInfo, "target_departed", {{"target", id}});
-      keeper_->Departed(id, BootTimeNow());
-      Changed();
-    });
-    return {.status = 200, .headers = {}, .body = "{}"};
+  absl::StatusOr<platform::control_request> read = platform::ReadControlRequest(request);
+  if (!read.ok()) {
+    LogFact(log_level::kWarning, "announcement_refused", {{"error", MessageOf(read.status())}});
+    return platform::RefuseControlRequest();
   }
-  if (!request.path.starts_with(kHeartbeat)) {
-    return {.status = kNotFound, .headers = {}, .body = "{}"};
-  }
-  absl::StatusOr<target_announcement> announcement =
-      platform::ReadAnnouncement(request.path.substr(kHeartbeat.size()), request.body);
-  if (!announcement.ok()) {
-    LogFact(log_level::kWarning, "announcement_refused",
-            {{"error", MessageOf(announcement.status())}});
-    return {.status = kBadRequest, .headers = {}, .body = "{}"};
-  }
-  loop_.Post([this, heard = *std::move(announcement)] { TakeAnnouncement(heard); });
-  return {.status = 200, .headers = {{"content-type", "application/json"}}, .body = "{}"};
+  loop_.Post([this, said = *std::move(read)] {
+    if (said.announcement.has_value()) {
+      TakeAnnouncement(*said.announcement);
+      return;
+    }
+    LogFact(log_level::kInfo, "target_departed", {{"target", said.target}});
+    keeper_->Departed(said.target, BootTimeNow());
+    Changed();
+  });
+  return platform::AcknowledgeControlRequest();
 }
 
 void agent_service::Reload(const platform::node_settings& settings) {
--- a/tests/platform/target_json_test.cc
+++ b/tests/platform/target_json_test.cc
@@ -1,6 +1,7 @@
 #include "platform/target_json.h"
 
 #include "platform/announcement_json.h"
+#include "platform/control_request.h"
 #include "platform/task_name.h"
 
 // Last, since its macros must not reach other headers.
@@ -110,6 +111,17 @@
   CHECK(!recalled->clock_ms.has_value());
 }
 
+TEST(TargetJson, TellsAHeartbeatFromADeparture) {
+  auto beat = ReadControlRequest({.path = "/-/Instances.Heartbeat/i-7", .body = kHeartbeat});
+  CHECK(beat.ok() && beat->announcement.has_value());
+  STRCMP_EQUAL("i-7", beat->target.c_str());
+  auto departure = ReadControlRequest({.path = "/-/Instances.Deregister/i-7"});
+  CHECK(departure.ok() && !departure->announcement.has_value());
+  STRCMP_EQUAL("i-7", departure->target.c_str());
+  CHECK(!ReadControlRequest({.path = "/elsewhere"}).ok());
+  CHECK(!ReadControlRequest({.path = "/-/Instances.Heartbeat/i-7", .body = "{}"}).ok());
+}
+
 TEST(TargetJson, AnIncompleteAnnouncementNamesNoTarget) {
   CHECK(!ReadAnnouncement("i-7", "").ok());
   CHECK(!ReadAnnouncement("i-7", "[]").ok());
