Dial silent entries again after 150 ms; refuse nothing on arrival while targets come back

A VM that is down answers no connection at all, so each agent's dials hung for the 700 ms limit: entries up at 38.40 and 38.54 s had most of their agents only at 38.98 to 39.17 s and refused 90 jobs as overload meanwhile. Ruled out: the store (regained within 20 ms), targets (all announced by 38.42 s), entries' own start. An entry whose first target is back also takes what its queue can hold for 400 ms, as it does with none.

--- a/libraries/board/job_board.cc
+++ b/libraries/board/job_board.cc
@@ -67,6 +67,9 @@
         without_targets_since_.has_value() && now - *without_targets_since_ < options_.target_grace;
     return expected ? std::nullopt : std::optional(refuse("no_target", options_.shortest_retry));
   }
+  if (targets_back_since_.has_value() && now - *targets_back_since_ < options_.settle_time) {
+    return std::nullopt;
+  }
   for (const step& each : candidate.steps) {
     target_table::need wanted{.service = candidate.submission.queue.service,
                               .room = each.spec.room,
@@ -311,6 +314,9 @@
 
 void job_board::Tick(instant now) {
   if (targets_.InUse(now) > 0) {
+    if (without_targets_since_.has_value()) {
+      targets_back_since_ = now;
+    }
     without_targets_since_.reset();
   } else if (!without_targets_since_.has_value()) {
     without_targets_since_ = now;
--- a/libraries/board/job_board.h
+++ b/libraries/board/job_board.h
@@ -35,6 +35,9 @@
   /// An entry that has no target to offer takes jobs for this long all the same: after a restart or
   /// a cut the agents are about to come back.
   duration target_grace = std::chrono::milliseconds(1500);
+  /// Once the first target is back others are about to follow: for this long what they can take is
+  /// not known, and no job is refused on arrival for want of room.
+  duration settle_time = std::chrono::milliseconds(400);
   /// Way there and back between an entry and a target.
   duration round_trip = std::chrono::milliseconds(6);
   /// Longest and shortest time after which a refused caller is asked to come back.
@@ -152,6 +155,7 @@
   int waiting_ = 0;    ///< tasks of all jobs that wait to be placed
   int unsettled_ = 0;  ///< tasks of all jobs that may still run where they are lost
   std::optional<instant> without_targets_since_;  ///< nothing while some target is in use
+  std::optional<instant> targets_back_since_;     ///< when some came back after there was none
 };
 
 }  // namespace wagtail::leased
--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -13,10 +13,11 @@
 
 /// One entry, with a connection to it or without.
 struct entry_links::link {
-  std::string address;
+  explicit link(const dial_pace_options& dial) : pace(dial) {}
+
+  std::string address{};
   instant named{};  ///< when somebody last named the entry
-  instant next_try{};
-  duration retry{};
+  dial_pace pace;
   bool dialing = false;
   session_id session = 0;  ///< 0: no open session
   uint64_t attempt = 0;    ///< tells callbacks of earlier connections apart
@@ -66,9 +67,8 @@
 void entry_links::Know(const std::string& address) {
   std::unique_ptr<link>& known = links_[address];
   if (known == nullptr) {
-    known = std::make_unique<link>();
+    known = std::make_unique<link>(options_.dial);
     known->address = address;
-    known->retry = options_.first_retry;
     known->rank = DigestOf(self_.address + " " + address);
     LogFact(log_level::kInfo, "entry_learned", {{"entry", address}});
   }
@@ -105,14 +105,17 @@
     bool valid = found != (*owner)->links_.end() && found->second->attempt == attempt;
     return valid ? found->second.get() : nullptr;
   };
+  auto connected = loop_.provider()
+                       .getNetwork()
+                       .parseAddress(target.address)
+                       .then([](kj::Own<kj::NetworkAddress> where) {
+                         auto stream = where->connect();
+                         return stream.attach(kj::mv(where));
+                       });
+  duration patience = target.pace.Begin(hooks_.now());
   auto connecting =
-      loop_.provider()
-          .getNetwork()
-          .parseAddress(target.address)
-          .then([](kj::Own<kj::NetworkAddress> where) {
-            auto connected = where->connect();
-            return connected.attach(kj::mv(where));
-          })
+      loop_.timer()
+          .timeoutAfter(patience.count() * kj::MICROSECONDS, kj::mv(connected))
           .then([owner, current](kj::Own<kj::AsyncIoStream> stream) -> kj::Promise<void> {
             link* each = current();
             if (each == nullptr) {
@@ -134,7 +137,7 @@
               }
             });
           });
-  auto limited = loop_.timer().timeoutAfter(options_.connect_limit.count() * kj::MICROSECONDS,
+  auto limited = loop_.timer().timeoutAfter(options_.join_limit.count() * kj::MICROSECONDS,
                                             kj::mv(connecting));
   loop_.Detach(kj::mv(limited), [owner, current](kj::Exception&& error) {
     link* each = current();
@@ -147,7 +150,7 @@
 void entry_links::Joined(link& target, session_id session, instant sent) {
   target.dialing = false;
   target.session = session;
-  target.retry = options_.first_retry;
+  target.pace.Connected();
   target.answered = hooks_.now();
   target.plan_known = 0;
   target.orders_seen = 0;
@@ -170,9 +173,10 @@
   target.client = nullptr;
   target.stream = nullptr;
   target.results.clear();
-  target.next_try = now + target.retry;
-  target.retry = std::min(target.retry * 2, options_.longest_retry);
-  if (session != 0) {
+  if (session == 0) {
+    target.pace.Failed(now);
+  } else {
+    target.pace.Lost(now);
     hooks_.closed(session);
   }
 }
@@ -203,7 +207,7 @@
       }
     } else if (each->dialing) {
       ++kept;
-    } else if (wanted && each->next_try <= now) {
+    } else if (wanted && each->pace.IsDue(now)) {
       ++kept;
       Dial(*each);
     }
--- a/libraries/session/entry_links.h
+++ b/libraries/session/entry_links.h
@@ -13,6 +13,7 @@
 
 #include "board/board_events.h"
 #include "rpc/event_loop.h"
+#include "session/dial_pace.h"
 #include "session/session.capnp.h"
 
 namespace wagtail::leased {
@@ -32,13 +33,12 @@
   /// A session that is one too many stays open at least this long after its entry was told to send
   /// nothing more.
   duration retire_time = std::chrono::milliseconds(500);
-  /// A connection that must be made within this time, or is tried again.
-  duration connect_limit = std::chrono::milliseconds(700);
+  /// How long to wait for connections, and when to try again.
+  dial_pace_options dial{};
+  /// A session that must be open this long after the first step, or is tried again.
+  duration join_limit = std::chrono::milliseconds(700);
   /// A link without an answer for this long is given up.
   duration silence_limit = std::chrono::milliseconds(600);
-  /// Pause before another try, doubled up to the second value.
-  duration first_retry = std::chrono::milliseconds(100);
-  duration longest_retry = std::chrono::milliseconds(300);
   /// Entries with open sessions are named to the others at least this often.
   duration name_entries = std::chrono::seconds(2);
   /// An address that nobody names any more is dropped after this.
--- a/tests/board/job_board_test.cc
+++ b/tests/board/job_board_test.cc
@@ -102,6 +102,23 @@
   CHECK_EQUAL(1, orders.at(1).task.step);
 }
 
+// After a loss of power the targets come back one by one.
+TEST(JobBoard, RefusesNothingForWantOfRoomWhileTargetsComeBack) {
+  board.Tick(now);
+  now += Ms(50);
+  AddTarget(1);
+  board.Tick(now);
+  for (job_serial serial = 1; serial <= 40; ++serial) {
+    Submit(serial, Job("job-" + std::to_string(serial)));
+  }
+  CHECK_EQUAL(0, answers.size());
+  now += Ms(400);
+  board.Reported(1, Serving(0), now);
+  Submit(41, Job("late"));
+  CHECK_EQUAL(1, answers.size());
+  CHECK(answers[0].answer.outcome == job_outcome::kRefused);
+}
+
 TEST(JobBoard, RefusesAtOnceWithoutATarget) {
   Submit(5, Job("a"));
   CHECK(answers.at(0).answer.outcome == job_outcome::kRefused);
