--- a/libraries/entry/configuration_controller.h
+++ b/libraries/entry/configuration_controller.h
@@ -13,12 +13,11 @@
 #include "configuration/configuration.h"
 #include "configuration/configuration_change.h"
 #include "configuration/configuration_record.h"
+#include "freshness/newest_configuration.h"
 #include "table/table.h"
 
 namespace wagtail {
 
-/// Key of the table row that holds the accepted configuration.
-inline constexpr std::string_view kConfigurationKey = "configuration";
 /// Prefix of the rows of the audit trail, one per accepted version.
 inline constexpr std::string_view kAuditPrefix = "audit/";
 /// Prefix of the rows that say by its id whether a change was accepted.
--- a/libraries/entry/entry_context.h
+++ b/libraries/entry/entry_context.h
@@ -6,10 +6,10 @@
 #include "admission/team_quota.h"
 #include "base/identifiers.h"
 #include "entry/configuration_controller.h"
+#include "entry/configuration_spread.h"
 #include "entry/dispatch_controller.h"
 #include "entry/entry_metrics.h"
 #include "entry/entry_view.h"
-#include "entry/freshness_controller.h"
 #include "entry/peer_links.h"
 #include "entry/recovery_controller.h"
 #include "membership/target_registry.h"
@@ -35,7 +35,7 @@
   std::atomic<uint64_t>& registry_revision;  ///< up to which the rows of targets are known
   dispatch_controller& dispatch;
   configuration_controller& configuration;
-  freshness_controller& freshness;
+  configuration_spread& spread;
   target_registry& targets;
   peer_links& peers;
   recovery_controller& recoveries;
--- a/libraries/entry/entry_daemon.cc
+++ b/libraries/entry/entry_daemon.cc
@@ -10,6 +10,7 @@
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
 #include "entry/answer_json.h"
+#include "entry/background_worker.h"
 #include "entry/entry_context.h"
 #include "entry/entry_gate.h"
 #include "entry/entry_registration.h"
@@ -88,7 +89,7 @@
   target_registry targets;
   std::unique_ptr<dispatch_controller> dispatch;
   std::unique_ptr<peer_links> peers;
-  std::unique_ptr<freshness_controller> freshness;
+  std::unique_ptr<configuration_spread> spread;
   std::unique_ptr<recovery_controller> recoveries;
   std::optional<entry_context> context;
   std::unique_ptr<job_service> jobs;
@@ -122,11 +123,9 @@
         });
     peers = std::make_unique<peer_links>(
         loop, peer_links_options{.cluster_key = options.cluster_key, .self = self});
-    freshness = std::make_unique<freshness_controller>(
-        freshness_controller::parts{.loop = loop,
+    spread = std::make_unique<configuration_spread>(
+        configuration_spread::parts{.loop = loop,
                                     .peers = *peers,
-                                    .platform_table = this->platform_table,
-                                    .writer = *writer,
                                     .configuration = configuration,
                                     .entries = entries,
                                     .self = self},
@@ -153,7 +152,7 @@
                                   .registry_revision = registry_revision,
                                   .dispatch = *dispatch,
                                   .configuration = configuration,
-                                  .freshness = *freshness,
+                                  .spread = *spread,
                                   .targets = targets,
                                   .peers = *peers,
                                   .recoveries = *recoveries});
@@ -186,7 +185,7 @@
     ApplyQuotas();
   }
   OnTargetEvents(changes);
-  freshness->OnRead(round.started, changes);
+  spread->OnRead(round.started, changes);
   registry_revision.store(targets.revision());
 }
 
@@ -213,14 +212,14 @@
     for (const target_row& row : targets.Present()) {
       present.push_back(row.incarnation);
     }
-    freshness->OnTargets(present);
+    spread->decisions().OnTargets(present);
   }
 }
 
 void entry_daemon::parts::Tick() {
   Register();
   SweepOldKeys();
-  freshness->Tick();
+  spread->Tick();
   loop.After(options.freshness.period, [this] { Tick(); });
 }
 
@@ -281,9 +280,8 @@
 }
 
 target_policy entry_daemon::parts::PolicyFor(const target_row& row, const target_report& report) {
-  freshness->OnTargetConfirmed(row.incarnation, report.enforced_version);
-  return {.configuration_version = freshness->version(),
-          .evidence_age = freshness->Age(),
+  spread->decisions().OnTargetConfirmed(row.incarnation, report.enforced_version, MonotonicNow());
+  return {.configuration_version = configuration.revision(),
           .admitted = configuration.current().Admits(row.incarnation.target, row.failure_domain)};
 }
 
@@ -327,9 +325,10 @@
     figures.targets_linked =
         static_cast<uint64_t>(std::ranges::count_if(dispatch->Targets(), &target_status::is_up));
     figures.configuration_version = configuration.current().version;
-    figures.in_force = freshness->IsInForce();
-    if (std::optional<duration> age = freshness->Age(); age.has_value()) {
-      figures.evidence_age_seconds = ToSeconds(*age);
+    instant now = MonotonicNow();
+    figures.in_force = spread->decisions().IsInForce(now);
+    if (std::optional<duration> age = spread->decisions().ReadAge(now); age.has_value()) {
+      figures.read_age_seconds = ToSeconds(*age);
     }
   });
   metrics.Update(figures);
@@ -394,12 +393,9 @@
   }
   all.loop.Run([&all] { all.dispatch->EndAll("stopping"); });
   std::this_thread::sleep_for(kFarewell);
-  all.loop.Run([&all] {
-    // An entry that has written that it stopped must answer no poll from then on.
-    all.server.reset();
-  });
+  all.loop.Run([&all] { all.server.reset(); });
   if (all.http != nullptr) {
-    // Best effort: an entry that could not say goodbye stays a voter until it is replaced.
+    // Best effort: an entry that could not say goodbye counts as present until it is replaced.
     all.WriteRegistration(entry_state::kStopped);
   }
   if (all.http != nullptr) {
@@ -409,7 +405,7 @@
   all.writer.reset();
   all.loop.Stop([&all] {
     all.recoveries.reset();
-    all.freshness.reset();
+    all.spread.reset();
     all.peers.reset();
     all.dispatch.reset();
   });
--- a/libraries/entry/entry_gate.cc
+++ b/libraries/entry/entry_gate.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "entry/answer_json.h"
-#include "rpc/freshness_codec.h"
 #include "rpc/handshake_listener.h"
 #include "rpc/wire_codec.h"
 
@@ -75,9 +74,14 @@
     });
   }
 
-  kj::Promise<void> evidence(EvidenceContext context) override {  // NOLINT: generated name
-    peer_answer answer = context_.freshness.OnPeerQuestion(Read(context.getParams().getQuestion()));
-    Write(answer, context.getResults().initEvidence());
+  kj::Promise<void> configuration(
+      ConfigurationContext context) override {  // NOLINT: generated name
+    auto newer = context_.spread.OnPeerQuestion(context.getParams().getHave());
+    auto row = context.getResults().initRow();
+    if (newer.has_value()) {
+      row.setValue(ToWireText(newer->text));
+      row.setRevision(newer->revision);
+    }
     return kj::READY_NOW;
   }
 
--- a/libraries/entry/entry_metrics.cc
+++ b/libraries/entry/entry_metrics.cc
@@ -74,11 +74,11 @@
        static_cast<double>(figures.targets_linked));
   show("wagtail_configuration_version", "Newest configuration known.",
        static_cast<double>(figures.configuration_version));
-  show("wagtail_configuration_in_force", "1 if that version is in force everywhere.",
+  show("wagtail_configuration_in_force", "1 if everyone in touch acts on that version.",
        figures.in_force ? 1 : 0);
-  show("wagtail_configuration_evidence_age_seconds",
-       "Age of the evidence that it is the newest; negative without evidence.",
-       figures.evidence_age_seconds);
+  show("wagtail_table_read_age_seconds",
+       "Time since the last successful read of the table began; negative before the first.",
+       figures.read_age_seconds);
 }
 
 }  // namespace wagtail
--- a/libraries/entry/entry_metrics.h
+++ b/libraries/entry/entry_metrics.h
@@ -19,7 +19,7 @@
   uint64_t waiting_tasks = 0;
   uint64_t targets_linked = 0;
   uint64_t configuration_version = 0;
-  double evidence_age_seconds = -1;  ///< negative: no evidence
+  double read_age_seconds = -1;  ///< of the table; negative: never read
   bool in_force = false;
 };
 
--- a/libraries/entry/entry_registration.cc
+++ b/libraries/entry/entry_registration.cc
@@ -43,29 +43,7 @@
   if (wanted.state == entry_state::kStopped && !is_own) {
     return absl::FailedPreconditionError("the row belongs to another incarnation");
   }
-  entry_row next = is_own ? wanted : NextRegistration(wanted, present.row);
-  if (is_own) {
-    next.stopped_before = present.row->stopped_before;
-  }
-  return WriteRow(table, key, present.revision, next);
-}
-
-absl::Status VouchEnded(table& table, std::string_view name,
-                        std::span<const entry_incarnation> lives) {
-  std::string key = EntryKey(name);
-  present_row present = TRY(ReadRow(table, key));
-  if (!present.row.has_value()) {
-    return absl::NotFoundError("no entry of that name has registered");
-  }
-  entry_row next = *present.row;
-  for (entry_incarnation ended : lives) {
-    if (ended == next.incarnation) {
-      next.state = entry_state::kStopped;
-    } else {
-      next = WithStoppedLife(next, ended);
-    }
-  }
-  return WriteRow(table, key, present.revision, next);
+  return WriteRow(table, key, present.revision, wanted);
 }
 
 }  // namespace wagtail
--- a/libraries/entry/entry_registration.h
+++ b/libraries/entry/entry_registration.h
@@ -1,8 +1,5 @@
 #pragma once
 
-#include <span>
-#include <string_view>
-
 #include "absl/status/status.h"
 #include "membership/entry_registry.h"
 #include "table/table.h"
@@ -16,13 +13,4 @@
 ///   successor
 absl::Status RegisterEntry(table& table, const entry_row& wanted);
 
-/// Records an operator's word that lives of an entry have ended for good, so that their votes no
-/// longer count; blocks.
-/// @param name of the entry
-/// @param lives incarnations that ended; the one that the row shows as serving among them only if
-///   the entry has not come back under its name
-/// @return OK, or a table or membership error; not found when no such entry ever registered
-absl::Status VouchEnded(table& table, std::string_view name,
-                        std::span<const entry_incarnation> lives);
-
 }  // namespace wagtail
--- a/libraries/entry/operator_api.cc
+++ b/libraries/entry/operator_api.cc
@@ -30,8 +30,6 @@
 constexpr std::string_view kPrefix = "/v1/operator/";
 constexpr std::string_view kChangesPrefix = "changes/";
 constexpr std::string_view kJobsPrefix = "jobs/";
-constexpr std::string_view kEntriesPrefix = "entries/";
-constexpr std::string_view kEndedSuffix = "/ended";
 constexpr std::string_view kCancelSuffix = "/cancel";
 
 std::string NowInRfc3339() {
@@ -78,11 +76,9 @@
 
 std::string_view ToString(missing_reason reason) {
   switch (reason) {
-    case missing_reason::kVoterSilent:
-      return "entry_not_confirmed";
     case missing_reason::kMayStillStart:
       return "may_still_start";
-    case missing_reason::kStoppedWorking:
+    case missing_reason::kStartsNothing:
       return "starts_nothing";
   }
   return "unknown";
@@ -145,11 +141,6 @@
   if (is_get && path == "jobs") {
     return ShowJobs();
   }
-  if (is_post && path.starts_with(kEntriesPrefix) && path.ends_with(kEndedSuffix)) {
-    path.remove_prefix(kEntriesPrefix.size());
-    path.remove_suffix(kEndedSuffix.size());
-    return EndEntry(path, *author);
-  }
   if (is_post && path == "log-level") {
     return ChangeLogLevel(request, *author);
   }
@@ -164,10 +155,11 @@
 http_response operator_api::ShowConfiguration() {
   json body;
   context_.loop.Run([this, &body] {
+    instant now = MonotonicNow();
     const configuration_record& record = context_.configuration.record();
     json missing = json::array();
     json reasons = json::object();
-    for (const missing_party& party : context_.freshness.Missing()) {
+    for (const missing_party& party : context_.spread.decisions().Missing(now)) {
       missing.push_back(party.name);
       reasons[party.name] = ToString(party.reason);
     }
@@ -175,7 +167,7 @@
             {"text", record.text},
             {"leaving_failure_domains", record.leaving_failure_domains},
             {"leaving_targets", record.leaving_targets},
-            {"in_force", context_.freshness.IsInForce()},
+            {"in_force", context_.spread.decisions().IsInForce(now)},
             {"missing", missing},
             {"missing_reasons", reasons}};
   });
@@ -205,33 +197,6 @@
   return RespondJson(json({{"version", committed->to_version}, {"outcome", "committed"}}).dump());
 }
 
-http_response operator_api::EndEntry(std::string_view name, const std::string& author) {
-  std::vector<entry_incarnation> ended;
-  std::optional<entry_incarnation> serving;
-  context_.loop.Run([&] {
-    for (const voter& member : context_.freshness.voters().members()) {
-      if (member.name == name) {
-        ended.push_back(member.incarnation);
-      }
-    }
-    serving = context_.freshness.ServingLife(name);
-  });
-  bool has_come_back =
-      std::ranges::any_of(ended, [&](entry_incarnation life) { return life != serving; });
-  if (has_come_back) {
-    std::erase_if(ended, [&](entry_incarnation life) { return life == serving; });
-  }
-  absl::Status written = VouchEnded(context_.platform_table, name, ended);
-  if (!written.ok()) {
-    bool is_unknown = written.code() == absl::StatusCode::kNotFound;
-    return Refuse(is_unknown ? kNotFound : kServiceUnavailable,
-                  is_unknown ? "unknown_entry" : "not_applied", written);
-  }
-  LogFact(log_level::kWarning, "entry_vouched_ended",
-          {{"author", author}, {"entry", std::string(name)}});
-  return RespondJson(json({{"entry", name}, {"votes_given_up", ended.size()}}).dump());
-}
-
 http_response operator_api::ChangeLogLevel(const http_request& request, const std::string& author) {
   std::string text;
   absl::Status read = ReadSettings(
@@ -273,11 +238,10 @@
 http_response operator_api::ShowStatus() {
   json body;
   context_.loop.Run([this, &body] {
-    std::optional<duration> age = context_.freshness.Age();
+    std::optional<duration> age = context_.spread.decisions().ReadAge(MonotonicNow());
     const dispatcher_counters& counters = context_.dispatch.decisions().counters();
     body = {{"version", context_.configuration.current().version},
-            {"evidence_age_ms", age.has_value() ? json(ToMilliseconds(*age)) : json()},
-            {"voters", context_.freshness.voters().size()},
+            {"table_read_age_ms", age.has_value() ? json(ToMilliseconds(*age)) : json()},
             {"registry_revision", context_.targets.revision()},
             {"uptime_ms", context_.dispatch.UptimeMs()},
             {"targets", context_.dispatch.Targets().size()},
--- a/libraries/entry/operator_api.h
+++ b/libraries/entry/operator_api.h
@@ -25,7 +25,6 @@
   http_response ShowConfiguration();
   http_response ChangeConfiguration(const http_request& request, const std::string& author);
   /// Takes an operator's word that an entry, or its life before the present one, has ended.
-  http_response EndEntry(std::string_view name, const std::string& author);
   http_response ChangeLogLevel(const http_request& request, const std::string& author);
   http_response ShowChange(std::string_view change_id);
   http_response ShowAudit(const http_request& request);
--- a/libraries/entry/table_watcher.cc
+++ b/libraries/entry/table_watcher.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-// The row of voters lies under the prefix of the configuration, so that one read brings both.
 constexpr std::array<std::string_view, 3> kWatchedPrefixes = {"configuration", "target/", "entry/"};
 
 }  // namespace
--- a/libraries/entry/target_link.cc
+++ b/libraries/entry/target_link.cc
@@ -61,9 +61,6 @@
     target_policy policy = link_.hooks_.on_heartbeat(report);
     auto out = context.getResults().initPolicy();
     out.setConfigurationVersion(policy.configuration_version);
-    out.setHasEvidence(policy.evidence_age.has_value());
-    out.setEvidenceAgeMs(
-        static_cast<uint64_t>(ToMilliseconds(policy.evidence_age.value_or(duration::zero())) + 1));
     out.setAdmitted(policy.admitted);
     return kj::READY_NOW;
   }
--- a/libraries/entry/target_link.h
+++ b/libraries/entry/target_link.h
@@ -26,7 +26,6 @@
 /// What the entry answers to a heartbeat.
 struct target_policy {
   uint64_t configuration_version = 0;
-  std::optional<duration> evidence_age;  ///< empty: the entry has no evidence
   bool admitted = false;
 };
 
--- a/libraries/jobs/task.cc
+++ b/libraries/jobs/task.cc
@@ -10,7 +10,7 @@
       return "full";
     case refusal::kLeaving:
       return "leaving";
-    case refusal::kStale:
+    case refusal::kOutOfTouch:
       return "stale";
     case refusal::kFenced:
       return "fenced";
--- a/libraries/membership/entry_registry.h
+++ b/libraries/membership/entry_registry.h
@@ -1,10 +1,7 @@
 #pragma once
 
-#include <cstddef>
-#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "absl/status/statusor.h"
 #include "base/identifiers.h"
@@ -20,7 +17,7 @@
 
 enum class entry_state {
   kServing,
-  kStopped,  ///< written by the entry itself as its last act: it answers no poll from then on
+  kStopped,  ///< written by the entry itself as its last act
 };
 
 /// Value of the row `entry/NAME`.
@@ -31,26 +28,9 @@
   std::string rpc_address;   ///< HOST:PORT
   std::string failure_domain;
   entry_state state = entry_state::kServing;
-  /// Earlier lives of this name that had written that they stopped, the latest last. Readers may
-  /// not have seen those rows before they were overwritten.
-  std::vector<entry_incarnation> stopped_before{};
   bool operator==(const entry_row&) const = default;
 };
 
-/// Earlier lives that a row remembers.
-inline constexpr std::size_t kMostStoppedLives = 16;
-
-/// The row with which a new life of an entry registers. To be written on condition that the row's
-/// revision is still that of `previous`.
-/// @param wanted the entry as it is
-/// @param previous the row in the table, if any
-entry_row NextRegistration(const entry_row& wanted, const std::optional<entry_row>& previous);
-/// The row by which an operator vouches that an earlier life of the name has ended. To be written
-/// on condition that the row's revision is still that of `present`.
-entry_row WithStoppedLife(const entry_row& present, entry_incarnation ended);
-/// @return the incarnations that the row shows to have stopped for good
-std::vector<entry_incarnation> StoppedLives(const entry_row& row);
-
 /// @return the key of an entry's row
 std::string EntryKey(std::string_view name);
 /// @return the value for the table
--- a/libraries/rpc/wire.capnp
+++ b/libraries/rpc/wire.capnp
@@ -64,9 +64,7 @@
 # What an entry tells a target's daemon of the configuration.
 struct TargetPolicy {
   configurationVersion @0 :UInt64;
-  evidenceAgeMs @1 :UInt64;    # since the read of the table that proves the version began
-  hasEvidence @2 :Bool;
-  admitted @3 :Bool;           # neither the target nor its failure domain is leaving
+  admitted @1 :Bool;           # neither the target nor its failure domain is leaving
 }
 
 # What a target's daemon tells an entry of itself with each heartbeat.
@@ -108,40 +106,17 @@
       -> (peer :EntryPeer, nonce :UInt64, proof :Data);
 }
 
-# A table row as one process hands it on to another.
+# The row of the configuration as one entry hands it on to another.
 struct SharedRow {
   value @0 :Text;
-  revision @1 :UInt64;   # 0: the row does not exist
-}
-
-# The rows of the configuration and of the voters, together.
-struct GuardedRows {
-  configuration @0 :SharedRow;
-  voters @1 :SharedRow;
-}
-
-struct EvidenceQuestion {
-  have @0 :UInt64;          # version of the asker
-  hasRows @1 :Bool;         # the asker's rows come along, for an entry that may not read them
-  rows @2 :GuardedRows;
-}
-
-# What an entry can show of the newest configuration.
-struct Evidence {
-  incarnation @0 :UInt64;
-  version @1 :UInt64;        # the later of the revisions of the two rows
-  hasAge @2 :Bool;
-  ageMs @3 :UInt64;          # of its evidence, of any kind
-  hasOwnReadAge @4 :Bool;
-  ownReadAgeMs @5 :UInt64;   # of its own last successful read of the table
-  hasRows @6 :Bool;          # newer than what the asker has
-  rows @7 :GuardedRows;
+  revision @1 :UInt64;   # 0: nothing newer is known
 }
 
 interface EntryPeer {
   # Submits a job to the entry that minted its id; waits for the final answer.
   submit @0 (jobId :Text, team :Text, body :Data) -> (status :UInt16, answer :Data);
   cancel @1 (jobId :Text, team :Text) -> (status :UInt16, answer :Data);
-  evidence @2 (question :EvidenceQuestion) -> (evidence :Evidence);
+  # have: revision of the asker's row.
+  configuration @2 (have :UInt64) -> (row :SharedRow);
   ping @3 () -> ();
 }
--- a/libraries/rpc/wire.capnp.c++
+++ b/libraries/rpc/wire.capnp.c++
@@ -743,52 +743,38 @@
   1, 2, i_e63aea447c921013, nullptr, nullptr, { &s_e63aea447c921013, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<82> b_a6ae0bc1c8e8d66a = {
+static const ::capnp::_::AlignedData<50> b_a6ae0bc1c8e8d66a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     106, 214, 232, 200, 193,  11, 174, 166,
-     11,   0,   0,   0,   1,   0,   3,   0,
+     11,   0,   0,   0,   1,   0,   2,   0,
     101,  78, 151, 176, 193, 168, 242, 211,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 194,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 231,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  46,  99,  97, 112,
     110, 112,  58,  84,  97, 114, 103, 101,
     116,  80, 111, 108, 105,  99, 121,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0, 170,   0,   0,   0,
+     41,   0,   0,   0, 170,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    100,   0,   0,   0,   3,   0,   1,   0,
-    112,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   1,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,  64,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0, 114,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    108,   0,   0,   0,   3,   0,   1,   0,
-    120,   0,   0,   0,   2,   0,   1,   0,
-      2,   0,   0,   0, 128,   0,   0,   0,
-      0,   0,   1,   0,   2,   0,   0,   0,
+     53,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,  98,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    116,   0,   0,   0,   3,   0,   1,   0,
-    128,   0,   0,   0,   2,   0,   1,   0,
-      3,   0,   0,   0, 129,   0,   0,   0,
-      0,   0,   1,   0,   3,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,  74,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    124,   0,   0,   0,   3,   0,   1,   0,
-    136,   0,   0,   0,   2,   0,   1,   0,
+     52,   0,   0,   0,   3,   0,   1,   0,
+     64,   0,   0,   0,   2,   0,   1,   0,
      99, 111, 110, 102, 105, 103, 117, 114,
      97, 116, 105, 111, 110,  86, 101, 114,
     115, 105, 111, 110,   0,   0,   0,   0,
@@ -799,24 +785,6 @@
       9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101, 118, 105, 100, 101, 110,  99, 101,
-     65, 103, 101,  77, 115,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    104,  97, 115,  69, 118, 105, 100, 101,
-    110,  99, 101,   0,   0,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
      97, 100, 109, 105, 116, 116, 101, 100,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
@@ -829,11 +797,11 @@
 };
 ::capnp::word const* const bp_a6ae0bc1c8e8d66a = b_a6ae0bc1c8e8d66a.words;
 #if !CAPNP_LITE
-static const uint16_t m_a6ae0bc1c8e8d66a[] = {3, 0, 1, 2};
-static const uint16_t i_a6ae0bc1c8e8d66a[] = {0, 1, 2, 3};
+static const uint16_t m_a6ae0bc1c8e8d66a[] = {1, 0};
+static const uint16_t i_a6ae0bc1c8e8d66a[] = {0, 1};
 const ::capnp::_::RawSchema s_a6ae0bc1c8e8d66a = {
-  0xa6ae0bc1c8e8d66a, b_a6ae0bc1c8e8d66a.words, 82, nullptr, m_a6ae0bc1c8e8d66a,
-  0, 4, i_a6ae0bc1c8e8d66a, nullptr, nullptr, { &s_a6ae0bc1c8e8d66a, nullptr, nullptr, 0, 0, nullptr }
+  0xa6ae0bc1c8e8d66a, b_a6ae0bc1c8e8d66a.words, 50, nullptr, m_a6ae0bc1c8e8d66a,
+  0, 2, i_a6ae0bc1c8e8d66a, nullptr, nullptr, { &s_a6ae0bc1c8e8d66a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<63> b_a4c821d23b0fa713 = {
@@ -2404,299 +2372,6 @@
   0, 2, i_b61852f6e12c7e28, nullptr, nullptr, { &s_b61852f6e12c7e28, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_ef4d245f0e124232 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-     50,  66,  18,  14,  95,  36,  77, 239,
-     11,   0,   0,   0,   1,   0,   0,   0,
-    101,  78, 151, 176, 193, 168, 242, 211,
-      2,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 186,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    119, 105, 114, 101,  46,  99,  97, 112,
-    110, 112,  58,  71, 117,  97, 114, 100,
-    101, 100,  82, 111, 119, 115,   0,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0, 114,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   1,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,  58,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     56,   0,   0,   0,   2,   0,   1,   0,
-     99, 111, 110, 102, 105, 103, 117, 114,
-     97, 116, 105, 111, 110,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-     40, 126,  44, 225, 246,  82,  24, 182,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    118, 111, 116, 101, 114, 115,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-     40, 126,  44, 225, 246,  82,  24, 182,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_ef4d245f0e124232 = b_ef4d245f0e124232.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_ef4d245f0e124232[] = {
-  &s_b61852f6e12c7e28,
-};
-static const uint16_t m_ef4d245f0e124232[] = {0, 1};
-static const uint16_t i_ef4d245f0e124232[] = {0, 1};
-const ::capnp::_::RawSchema s_ef4d245f0e124232 = {
-  0xef4d245f0e124232, b_ef4d245f0e124232.words, 48, d_ef4d245f0e124232, m_ef4d245f0e124232,
-  1, 2, i_ef4d245f0e124232, nullptr, nullptr, { &s_ef4d245f0e124232, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<63> b_89c74c36b24dc436 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-     54, 196,  77, 178,  54,  76, 199, 137,
-     11,   0,   0,   0,   1,   0,   2,   0,
-    101,  78, 151, 176, 193, 168, 242, 211,
-      1,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 226,   0,   0,   0,
-     33,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 175,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    119, 105, 114, 101,  46,  99,  97, 112,
-    110, 112,  58,  69, 118, 105, 100, 101,
-    110,  99, 101,  81, 117, 101, 115, 116,
-    105, 111, 110,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,  64,   0,   0,   0,
-      0,   0,   1,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,  66,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     68,   0,   0,   0,   3,   0,   1,   0,
-     80,   0,   0,   0,   2,   0,   1,   0,
-      2,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   2,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-     84,   0,   0,   0,   2,   0,   1,   0,
-    104,  97, 118, 101,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    104,  97, 115,  82, 111, 119, 115,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    114, 111, 119, 115,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-     50,  66,  18,  14,  95,  36,  77, 239,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_89c74c36b24dc436 = b_89c74c36b24dc436.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_89c74c36b24dc436[] = {
-  &s_ef4d245f0e124232,
-};
-static const uint16_t m_89c74c36b24dc436[] = {1, 0, 2};
-static const uint16_t i_89c74c36b24dc436[] = {0, 1, 2};
-const ::capnp::_::RawSchema s_89c74c36b24dc436 = {
-  0x89c74c36b24dc436, b_89c74c36b24dc436.words, 63, d_89c74c36b24dc436, m_89c74c36b24dc436,
-  1, 3, i_89c74c36b24dc436, nullptr, nullptr, { &s_89c74c36b24dc436, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<140> b_d2e8d27e39a7ccea = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    234, 204, 167,  57, 126, 210, 232, 210,
-     11,   0,   0,   0,   1,   0,   5,   0,
-    101,  78, 151, 176, 193, 168, 242, 211,
-      1,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 162,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 199,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    119, 105, 114, 101,  46,  99,  97, 112,
-    110, 112,  58,  69, 118, 105, 100, 101,
-    110,  99, 101,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-     32,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    209,   0,   0,   0,  98,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    208,   0,   0,   0,   3,   0,   1,   0,
-    220,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   1,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    217,   0,   0,   0,  66,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    212,   0,   0,   0,   3,   0,   1,   0,
-    224,   0,   0,   0,   2,   0,   1,   0,
-      2,   0,   0,   0, 128,   0,   0,   0,
-      0,   0,   1,   0,   2,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    221,   0,   0,   0,  58,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    216,   0,   0,   0,   3,   0,   1,   0,
-    228,   0,   0,   0,   2,   0,   1,   0,
-      3,   0,   0,   0,   3,   0,   0,   0,
-      0,   0,   1,   0,   3,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    225,   0,   0,   0,  50,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    220,   0,   0,   0,   3,   0,   1,   0,
-    232,   0,   0,   0,   2,   0,   1,   0,
-      4,   0,   0,   0, 129,   0,   0,   0,
-      0,   0,   1,   0,   4,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    229,   0,   0,   0, 114,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    228,   0,   0,   0,   3,   0,   1,   0,
-    240,   0,   0,   0,   2,   0,   1,   0,
-      5,   0,   0,   0,   4,   0,   0,   0,
-      0,   0,   1,   0,   5,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    237,   0,   0,   0, 106,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    236,   0,   0,   0,   3,   0,   1,   0,
-    248,   0,   0,   0,   2,   0,   1,   0,
-      6,   0,   0,   0, 130,   0,   0,   0,
-      0,   0,   1,   0,   6,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    245,   0,   0,   0,  66,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    240,   0,   0,   0,   3,   0,   1,   0,
-    252,   0,   0,   0,   2,   0,   1,   0,
-      7,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    249,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    244,   0,   0,   0,   3,   0,   1,   0,
-      0,   1,   0,   0,   2,   0,   1,   0,
-    105, 110,  99,  97, 114, 110,  97, 116,
-    105, 111, 110,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    118, 101, 114, 115, 105, 111, 110,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    104,  97, 115,  65, 103, 101,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     97, 103, 101,  77, 115,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    104,  97, 115,  79, 119, 110,  82, 101,
-     97, 100,  65, 103, 101,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    111, 119, 110,  82, 101,  97, 100,  65,
-    103, 101,  77, 115,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    104,  97, 115,  82, 111, 119, 115,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    114, 111, 119, 115,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-     50,  66,  18,  14,  95,  36,  77, 239,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_d2e8d27e39a7ccea = b_d2e8d27e39a7ccea.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_d2e8d27e39a7ccea[] = {
-  &s_ef4d245f0e124232,
-};
-static const uint16_t m_d2e8d27e39a7ccea[] = {3, 2, 4, 6, 0, 5, 7, 1};
-static const uint16_t i_d2e8d27e39a7ccea[] = {0, 1, 2, 3, 4, 5, 6, 7};
-const ::capnp::_::RawSchema s_d2e8d27e39a7ccea = {
-  0xd2e8d27e39a7ccea, b_d2e8d27e39a7ccea.words, 140, d_d2e8d27e39a7ccea, m_d2e8d27e39a7ccea,
-  1, 8, i_d2e8d27e39a7ccea, nullptr, nullptr, { &s_d2e8d27e39a7ccea, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<59> b_ac820a7f2af85ce5 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     229,  92, 248,  42, 127,  10, 130, 172,
@@ -2734,7 +2409,7 @@
       2,   0,   0,   0,   0,   0,   0,   0,
     109, 112,  37,  45, 192, 163,  95, 190,
      46,  71, 248,  88, 191, 204, 128, 193,
-     65,   0,   0,   0,  74,   0,   0,   0,
+     65,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2751,8 +2426,8 @@
       0,   0,   0,   0,   0,   0,   1,   0,
      99,  97, 110,  99, 101, 108,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
-    101, 118, 105, 100, 101, 110,  99, 101,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 102, 105, 103, 117, 114,
+     97, 116, 105, 111, 110,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     112, 105, 110, 103,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -3030,49 +2705,46 @@
 static const ::capnp::_::AlignedData<34> b_be5fa3c02d25706d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     109, 112,  37,  45, 192, 163,  95, 190,
-     21,   0,   0,   0,   1,   0,   0,   0,
+     21,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  42,   1,   0,   0,
+     21,   0,   0,   0,  82,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  46,  99,  97, 112,
     110, 112,  58,  69, 110, 116, 114, 121,
-     80, 101, 101, 114,  46, 101, 118, 105,
-    100, 101, 110,  99, 101,  36,  80,  97,
-    114,  97, 109, 115,   0,   0,   0,   0,
+     80, 101, 101, 114,  46,  99, 111, 110,
+    102, 105, 103, 117, 114,  97, 116, 105,
+    111, 110,  36,  80,  97, 114,  97, 109,
+    115,   0,   0,   0,   0,   0,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  74,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   3,   0,   1,   0,
-     24,   0,   0,   0,   2,   0,   1,   0,
-    113, 117, 101, 115, 116, 105, 111, 110,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    104,  97, 118, 101,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-     54, 196,  77, 178,  54,  76, 199, 137,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_be5fa3c02d25706d = b_be5fa3c02d25706d.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_be5fa3c02d25706d[] = {
-  &s_89c74c36b24dc436,
-};
 static const uint16_t m_be5fa3c02d25706d[] = {0};
 static const uint16_t i_be5fa3c02d25706d[] = {0};
 const ::capnp::_::RawSchema s_be5fa3c02d25706d = {
-  0xbe5fa3c02d25706d, b_be5fa3c02d25706d.words, 34, d_be5fa3c02d25706d, m_be5fa3c02d25706d,
-  1, 1, i_be5fa3c02d25706d, nullptr, nullptr, { &s_be5fa3c02d25706d, nullptr, nullptr, 0, 0, nullptr }
+  0xbe5fa3c02d25706d, b_be5fa3c02d25706d.words, 34, nullptr, m_be5fa3c02d25706d,
+  0, 1, i_be5fa3c02d25706d, nullptr, nullptr, { &s_be5fa3c02d25706d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<34> b_c180ccbf58f8472e = {
@@ -3082,29 +2754,29 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  50,   1,   0,   0,
+     21,   0,   0,   0,  90,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     119, 105, 114, 101,  46,  99,  97, 112,
     110, 112,  58,  69, 110, 116, 114, 121,
-     80, 101, 101, 114,  46, 101, 118, 105,
-    100, 101, 110,  99, 101,  36,  82, 101,
-    115, 117, 108, 116, 115,   0,   0,   0,
+     80, 101, 101, 114,  46,  99, 111, 110,
+    102, 105, 103, 117, 114,  97, 116, 105,
+    111, 110,  36,  82, 101, 115, 117, 108,
+    116, 115,   0,   0,   0,   0,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  74,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   3,   0,   1,   0,
-     24,   0,   0,   0,   2,   0,   1,   0,
-    101, 118, 105, 100, 101, 110,  99, 101,
+     13,   0,   0,   0,  34,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 111, 119,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    234, 204, 167,  57, 126, 210, 232, 210,
+     40, 126,  44, 225, 246,  82,  24, 182,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -3114,7 +2786,7 @@
 ::capnp::word const* const bp_c180ccbf58f8472e = b_c180ccbf58f8472e.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_c180ccbf58f8472e[] = {
-  &s_d2e8d27e39a7ccea,
+  &s_b61852f6e12c7e28,
 };
 static const uint16_t m_c180ccbf58f8472e[] = {0};
 static const uint16_t i_c180ccbf58f8472e[] = {0};
@@ -3711,30 +3383,6 @@
 constexpr ::capnp::_::RawSchema const* SharedRow::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// GuardedRows
-constexpr uint16_t GuardedRows::_capnpPrivate::dataWordSize;
-constexpr uint16_t GuardedRows::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind GuardedRows::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* GuardedRows::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// EvidenceQuestion
-constexpr uint16_t EvidenceQuestion::_capnpPrivate::dataWordSize;
-constexpr uint16_t EvidenceQuestion::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind EvidenceQuestion::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* EvidenceQuestion::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Evidence
-constexpr uint16_t Evidence::_capnpPrivate::dataWordSize;
-constexpr uint16_t Evidence::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Evidence::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Evidence::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
 #if !CAPNP_LITE
 ::capnp::Request< ::wagtail::wire::EntryPeer::SubmitParams,  ::wagtail::wire::EntryPeer::SubmitResults>
 EntryPeer::Client::submitRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -3756,14 +3404,14 @@
       "wire.capnp:EntryPeer", "cancel",
       0xac820a7f2af85ce5ull, 1);
 }
-::capnp::Request< ::wagtail::wire::EntryPeer::EvidenceParams,  ::wagtail::wire::EntryPeer::EvidenceResults>
-EntryPeer::Client::evidenceRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::wagtail::wire::EntryPeer::EvidenceParams,  ::wagtail::wire::EntryPeer::EvidenceResults>(
+::capnp::Request< ::wagtail::wire::EntryPeer::ConfigurationParams,  ::wagtail::wire::EntryPeer::ConfigurationResults>
+EntryPeer::Client::configurationRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::wagtail::wire::EntryPeer::ConfigurationParams,  ::wagtail::wire::EntryPeer::ConfigurationResults>(
       0xac820a7f2af85ce5ull, 2, sizeHint);
 }
-::kj::Promise<void> EntryPeer::Server::evidence(EvidenceContext) {
+::kj::Promise<void> EntryPeer::Server::configuration(ConfigurationContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
-      "wire.capnp:EntryPeer", "evidence",
+      "wire.capnp:EntryPeer", "configuration",
       0xac820a7f2af85ce5ull, 2);
 }
 ::capnp::Request< ::wagtail::wire::EntryPeer::PingParams,  ::wagtail::wire::EntryPeer::PingResults>
@@ -3804,8 +3452,8 @@
       };
     case 2:
       return {
-        evidence(::capnp::Capability::Server::internalGetTypedContext<
-             ::wagtail::wire::EntryPeer::EvidenceParams,  ::wagtail::wire::EntryPeer::EvidenceResults>(context)),
+        configuration(::capnp::Capability::Server::internalGetTypedContext<
+             ::wagtail::wire::EntryPeer::ConfigurationParams,  ::wagtail::wire::EntryPeer::ConfigurationResults>(context)),
         false
       };
     case 3:
@@ -3861,20 +3509,20 @@
 constexpr ::capnp::_::RawSchema const* EntryPeer::CancelResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// EntryPeer::EvidenceParams
-constexpr uint16_t EntryPeer::EvidenceParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t EntryPeer::EvidenceParams::_capnpPrivate::pointerCount;
+// EntryPeer::ConfigurationParams
+constexpr uint16_t EntryPeer::ConfigurationParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryPeer::ConfigurationParams::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind EntryPeer::EvidenceParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* EntryPeer::EvidenceParams::_capnpPrivate::schema;
+constexpr ::capnp::Kind EntryPeer::ConfigurationParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryPeer::ConfigurationParams::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// EntryPeer::EvidenceResults
-constexpr uint16_t EntryPeer::EvidenceResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t EntryPeer::EvidenceResults::_capnpPrivate::pointerCount;
+// EntryPeer::ConfigurationResults
+constexpr uint16_t EntryPeer::ConfigurationResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryPeer::ConfigurationResults::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind EntryPeer::EvidenceResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* EntryPeer::EvidenceResults::_capnpPrivate::schema;
+constexpr ::capnp::Kind EntryPeer::ConfigurationResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryPeer::ConfigurationResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // EntryPeer::PingParams
--- a/libraries/rpc/wire.capnp.h
+++ b/libraries/rpc/wire.capnp.h
@@ -54,9 +54,6 @@
 CAPNP_DECLARE_SCHEMA(8dee5e5d2749f21e);
 CAPNP_DECLARE_SCHEMA(f0f3715577a6d7e9);
 CAPNP_DECLARE_SCHEMA(b61852f6e12c7e28);
-CAPNP_DECLARE_SCHEMA(ef4d245f0e124232);
-CAPNP_DECLARE_SCHEMA(89c74c36b24dc436);
-CAPNP_DECLARE_SCHEMA(d2e8d27e39a7ccea);
 CAPNP_DECLARE_SCHEMA(ac820a7f2af85ce5);
 CAPNP_DECLARE_SCHEMA(dc4c4fa9e96ca27e);
 CAPNP_DECLARE_SCHEMA(f2e49f893e861cd9);
@@ -201,7 +198,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a6ae0bc1c8e8d66a, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a6ae0bc1c8e8d66a, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -626,51 +623,6 @@
   };
 };
 
-struct GuardedRows {
-  GuardedRows() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ef4d245f0e124232, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct EvidenceQuestion {
-  EvidenceQuestion() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89c74c36b24dc436, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Evidence {
-  Evidence() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2e8d27e39a7ccea, 5, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct EntryPeer {
   EntryPeer() = delete;
 
@@ -683,8 +635,8 @@
   struct SubmitResults;
   struct CancelParams;
   struct CancelResults;
-  struct EvidenceParams;
-  struct EvidenceResults;
+  struct ConfigurationParams;
+  struct ConfigurationResults;
   struct PingParams;
   struct PingResults;
 
@@ -756,23 +708,23 @@
   };
 };
 
-struct EntryPeer::EvidenceParams {
-  EvidenceParams() = delete;
+struct EntryPeer::ConfigurationParams {
+  ConfigurationParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be5fa3c02d25706d, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(be5fa3c02d25706d, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct EntryPeer::EvidenceResults {
-  EvidenceResults() = delete;
+struct EntryPeer::ConfigurationResults {
+  ConfigurationResults() = delete;
 
   class Reader;
   class Builder;
@@ -1620,10 +1572,6 @@
 
   inline  ::uint64_t getConfigurationVersion() const;
 
-  inline  ::uint64_t getEvidenceAgeMs() const;
-
-  inline bool getHasEvidence() const;
-
   inline bool getAdmitted() const;
 
 private:
@@ -1657,12 +1605,6 @@
   inline  ::uint64_t getConfigurationVersion();
   inline void setConfigurationVersion( ::uint64_t value);
 
-  inline  ::uint64_t getEvidenceAgeMs();
-  inline void setEvidenceAgeMs( ::uint64_t value);
-
-  inline bool getHasEvidence();
-  inline void setHasEvidence(bool value);
-
   inline bool getAdmitted();
   inline void setAdmitted(bool value);
 
@@ -3849,9 +3791,80 @@
 };
 #endif  // !CAPNP_LITE
 
-class GuardedRows::Reader {
+#if !CAPNP_LITE
+class EntryPeer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef EntryPeer Calls;
+  typedef EntryPeer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::wagtail::wire::EntryPeer::SubmitParams,  ::wagtail::wire::EntryPeer::SubmitResults> submitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtail::wire::EntryPeer::CancelParams,  ::wagtail::wire::EntryPeer::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtail::wire::EntryPeer::ConfigurationParams,  ::wagtail::wire::EntryPeer::ConfigurationResults> configurationRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::wagtail::wire::EntryPeer::PingParams,  ::wagtail::wire::EntryPeer::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class EntryPeer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef EntryPeer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::wagtail::wire::EntryPeer::SubmitParams SubmitParams;
+  typedef  ::wagtail::wire::EntryPeer::SubmitResults SubmitResults;
+  typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
+  virtual ::kj::Promise<void> submit(SubmitContext context);
+  typedef  ::wagtail::wire::EntryPeer::CancelParams CancelParams;
+  typedef  ::wagtail::wire::EntryPeer::CancelResults CancelResults;
+  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
+  virtual ::kj::Promise<void> cancel(CancelContext context);
+  typedef  ::wagtail::wire::EntryPeer::ConfigurationParams ConfigurationParams;
+  typedef  ::wagtail::wire::EntryPeer::ConfigurationResults ConfigurationResults;
+  typedef ::capnp::CallContext<ConfigurationParams, ConfigurationResults> ConfigurationContext;
+  virtual ::kj::Promise<void> configuration(ConfigurationContext context);
+  typedef  ::wagtail::wire::EntryPeer::PingParams PingParams;
+  typedef  ::wagtail::wire::EntryPeer::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
+
+  inline  ::wagtail::wire::EntryPeer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::wagtail::wire::EntryPeer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::SubmitParams::Reader {
 public:
-  typedef GuardedRows Reads;
+  typedef SubmitParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3866,11 +3879,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration() const;
-  inline  ::wagtail::wire::SharedRow::Reader getConfiguration() const;
+  inline bool hasJobId() const;
+  inline  ::capnp::Text::Reader getJobId() const;
+
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
 
-  inline bool hasVoters() const;
-  inline  ::wagtail::wire::SharedRow::Reader getVoters() const;
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3884,9 +3900,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class GuardedRows::Builder {
+class EntryPeer::SubmitParams::Builder {
 public:
-  typedef GuardedRows Builds;
+  typedef SubmitParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3900,19 +3916,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration();
-  inline  ::wagtail::wire::SharedRow::Builder getConfiguration();
-  inline void setConfiguration( ::wagtail::wire::SharedRow::Reader value);
-  inline  ::wagtail::wire::SharedRow::Builder initConfiguration();
-  inline void adoptConfiguration(::capnp::Orphan< ::wagtail::wire::SharedRow>&& value);
-  inline ::capnp::Orphan< ::wagtail::wire::SharedRow> disownConfiguration();
+  inline bool hasJobId();
+  inline  ::capnp::Text::Builder getJobId();
+  inline void setJobId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJobId(unsigned int size);
+  inline void adoptJobId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJobId();
+
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
 
-  inline bool hasVoters();
-  inline  ::wagtail::wire::SharedRow::Builder getVoters();
-  inline void setVoters( ::wagtail::wire::SharedRow::Reader value);
-  inline  ::wagtail::wire::SharedRow::Builder initVoters();
-  inline void adoptVoters(::capnp::Orphan< ::wagtail::wire::SharedRow>&& value);
-  inline ::capnp::Orphan< ::wagtail::wire::SharedRow> disownVoters();
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3924,16 +3947,14 @@
 };
 
 #if !CAPNP_LITE
-class GuardedRows::Pipeline {
+class EntryPeer::SubmitParams::Pipeline {
 public:
-  typedef GuardedRows Pipelines;
+  typedef SubmitParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::wagtail::wire::SharedRow::Pipeline getConfiguration();
-  inline  ::wagtail::wire::SharedRow::Pipeline getVoters();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3942,9 +3963,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EvidenceQuestion::Reader {
+class EntryPeer::SubmitResults::Reader {
 public:
-  typedef EvidenceQuestion Reads;
+  typedef SubmitResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3959,12 +3980,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHave() const;
-
-  inline bool getHasRows() const;
+  inline  ::uint16_t getStatus() const;
 
-  inline bool hasRows() const;
-  inline  ::wagtail::wire::GuardedRows::Reader getRows() const;
+  inline bool hasAnswer() const;
+  inline  ::capnp::Data::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3978,9 +3997,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EvidenceQuestion::Builder {
+class EntryPeer::SubmitResults::Builder {
 public:
-  typedef EvidenceQuestion Builds;
+  typedef SubmitResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3994,18 +4013,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHave();
-  inline void setHave( ::uint64_t value);
-
-  inline bool getHasRows();
-  inline void setHasRows(bool value);
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
 
-  inline bool hasRows();
-  inline  ::wagtail::wire::GuardedRows::Builder getRows();
-  inline void setRows( ::wagtail::wire::GuardedRows::Reader value);
-  inline  ::wagtail::wire::GuardedRows::Builder initRows();
-  inline void adoptRows(::capnp::Orphan< ::wagtail::wire::GuardedRows>&& value);
-  inline ::capnp::Orphan< ::wagtail::wire::GuardedRows> disownRows();
+  inline bool hasAnswer();
+  inline  ::capnp::Data::Builder getAnswer();
+  inline void setAnswer( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
+  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4017,15 +4033,14 @@
 };
 
 #if !CAPNP_LITE
-class EvidenceQuestion::Pipeline {
+class EntryPeer::SubmitResults::Pipeline {
 public:
-  typedef EvidenceQuestion Pipelines;
+  typedef SubmitResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::wagtail::wire::GuardedRows::Pipeline getRows();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4034,9 +4049,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Evidence::Reader {
+class EntryPeer::CancelParams::Reader {
 public:
-  typedef Evidence Reads;
+  typedef CancelParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4051,22 +4066,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getVersion() const;
-
-  inline bool getHasAge() const;
-
-  inline  ::uint64_t getAgeMs() const;
-
-  inline bool getHasOwnReadAge() const;
-
-  inline  ::uint64_t getOwnReadAgeMs() const;
-
-  inline bool getHasRows() const;
+  inline bool hasJobId() const;
+  inline  ::capnp::Text::Reader getJobId() const;
 
-  inline bool hasRows() const;
-  inline  ::wagtail::wire::GuardedRows::Reader getRows() const;
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4080,9 +4084,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Evidence::Builder {
+class EntryPeer::CancelParams::Builder {
 public:
-  typedef Evidence Builds;
+  typedef CancelParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4096,33 +4100,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
-
-  inline bool getHasAge();
-  inline void setHasAge(bool value);
-
-  inline  ::uint64_t getAgeMs();
-  inline void setAgeMs( ::uint64_t value);
-
-  inline bool getHasOwnReadAge();
-  inline void setHasOwnReadAge(bool value);
-
-  inline  ::uint64_t getOwnReadAgeMs();
-  inline void setOwnReadAgeMs( ::uint64_t value);
-
-  inline bool getHasRows();
-  inline void setHasRows(bool value);
+  inline bool hasJobId();
+  inline  ::capnp::Text::Builder getJobId();
+  inline void setJobId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJobId(unsigned int size);
+  inline void adoptJobId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJobId();
 
-  inline bool hasRows();
-  inline  ::wagtail::wire::GuardedRows::Builder getRows();
-  inline void setRows( ::wagtail::wire::GuardedRows::Reader value);
-  inline  ::wagtail::wire::GuardedRows::Builder initRows();
-  inline void adoptRows(::capnp::Orphan< ::wagtail::wire::GuardedRows>&& value);
-  inline ::capnp::Orphan< ::wagtail::wire::GuardedRows> disownRows();
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4134,15 +4124,14 @@
 };
 
 #if !CAPNP_LITE
-class Evidence::Pipeline {
+class EntryPeer::CancelParams::Pipeline {
 public:
-  typedef Evidence Pipelines;
+  typedef CancelParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::wagtail::wire::GuardedRows::Pipeline getRows();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4151,392 +4140,43 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class EntryPeer::Client
-    : public virtual ::capnp::Capability::Client {
+class EntryPeer::CancelResults::Reader {
 public:
-  typedef EntryPeer Calls;
-  typedef EntryPeer Reads;
+  typedef CancelResults Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::wagtail::wire::EntryPeer::SubmitParams,  ::wagtail::wire::EntryPeer::SubmitResults> submitRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::wagtail::wire::EntryPeer::CancelParams,  ::wagtail::wire::EntryPeer::CancelResults> cancelRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::wagtail::wire::EntryPeer::EvidenceParams,  ::wagtail::wire::EntryPeer::EvidenceResults> evidenceRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::wagtail::wire::EntryPeer::PingParams,  ::wagtail::wire::EntryPeer::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getStatus() const;
+
+  inline bool hasAnswer() const;
+  inline  ::capnp::Data::Reader getAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::Server
-    : public virtual ::capnp::Capability::Server {
+class EntryPeer::CancelResults::Builder {
 public:
-  typedef EntryPeer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::wagtail::wire::EntryPeer::SubmitParams SubmitParams;
-  typedef  ::wagtail::wire::EntryPeer::SubmitResults SubmitResults;
-  typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
-  virtual ::kj::Promise<void> submit(SubmitContext context);
-  typedef  ::wagtail::wire::EntryPeer::CancelParams CancelParams;
-  typedef  ::wagtail::wire::EntryPeer::CancelResults CancelResults;
-  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
-  virtual ::kj::Promise<void> cancel(CancelContext context);
-  typedef  ::wagtail::wire::EntryPeer::EvidenceParams EvidenceParams;
-  typedef  ::wagtail::wire::EntryPeer::EvidenceResults EvidenceResults;
-  typedef ::capnp::CallContext<EvidenceParams, EvidenceResults> EvidenceContext;
-  virtual ::kj::Promise<void> evidence(EvidenceContext context);
-  typedef  ::wagtail::wire::EntryPeer::PingParams PingParams;
-  typedef  ::wagtail::wire::EntryPeer::PingResults PingResults;
-  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
-  virtual ::kj::Promise<void> ping(PingContext context);
-
-  inline  ::wagtail::wire::EntryPeer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::wagtail::wire::EntryPeer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class EntryPeer::SubmitParams::Reader {
-public:
-  typedef SubmitParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasJobId() const;
-  inline  ::capnp::Text::Reader getJobId() const;
-
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
-
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class EntryPeer::SubmitParams::Builder {
-public:
-  typedef SubmitParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasJobId();
-  inline  ::capnp::Text::Builder getJobId();
-  inline void setJobId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initJobId(unsigned int size);
-  inline void adoptJobId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownJobId();
-
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
-
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class EntryPeer::SubmitParams::Pipeline {
-public:
-  typedef SubmitParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class EntryPeer::SubmitResults::Reader {
-public:
-  typedef SubmitResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint16_t getStatus() const;
-
-  inline bool hasAnswer() const;
-  inline  ::capnp::Data::Reader getAnswer() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class EntryPeer::SubmitResults::Builder {
-public:
-  typedef SubmitResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
-
-  inline bool hasAnswer();
-  inline  ::capnp::Data::Builder getAnswer();
-  inline void setAnswer( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
-  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class EntryPeer::SubmitResults::Pipeline {
-public:
-  typedef SubmitResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class EntryPeer::CancelParams::Reader {
-public:
-  typedef CancelParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasJobId() const;
-  inline  ::capnp::Text::Reader getJobId() const;
-
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class EntryPeer::CancelParams::Builder {
-public:
-  typedef CancelParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasJobId();
-  inline  ::capnp::Text::Builder getJobId();
-  inline void setJobId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initJobId(unsigned int size);
-  inline void adoptJobId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownJobId();
-
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class EntryPeer::CancelParams::Pipeline {
-public:
-  typedef CancelParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class EntryPeer::CancelResults::Reader {
-public:
-  typedef CancelResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint16_t getStatus() const;
-
-  inline bool hasAnswer() const;
-  inline  ::capnp::Data::Reader getAnswer() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class EntryPeer::CancelResults::Builder {
-public:
-  typedef CancelResults Builds;
+  typedef CancelResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4586,9 +4226,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::EvidenceParams::Reader {
+class EntryPeer::ConfigurationParams::Reader {
 public:
-  typedef EvidenceParams Reads;
+  typedef ConfigurationParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4603,8 +4243,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasQuestion() const;
-  inline  ::wagtail::wire::EvidenceQuestion::Reader getQuestion() const;
+  inline  ::uint64_t getHave() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4618,9 +4257,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::EvidenceParams::Builder {
+class EntryPeer::ConfigurationParams::Builder {
 public:
-  typedef EvidenceParams Builds;
+  typedef ConfigurationParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4634,12 +4273,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasQuestion();
-  inline  ::wagtail::wire::EvidenceQuestion::Builder getQuestion();
-  inline void setQuestion( ::wagtail::wire::EvidenceQuestion::Reader value);
-  inline  ::wagtail::wire::EvidenceQuestion::Builder initQuestion();
-  inline void adoptQuestion(::capnp::Orphan< ::wagtail::wire::EvidenceQuestion>&& value);
-  inline ::capnp::Orphan< ::wagtail::wire::EvidenceQuestion> disownQuestion();
+  inline  ::uint64_t getHave();
+  inline void setHave( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4651,15 +4286,14 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::EvidenceParams::Pipeline {
+class EntryPeer::ConfigurationParams::Pipeline {
 public:
-  typedef EvidenceParams Pipelines;
+  typedef ConfigurationParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::wagtail::wire::EvidenceQuestion::Pipeline getQuestion();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4668,9 +4302,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::EvidenceResults::Reader {
+class EntryPeer::ConfigurationResults::Reader {
 public:
-  typedef EvidenceResults Reads;
+  typedef ConfigurationResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4685,8 +4319,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEvidence() const;
-  inline  ::wagtail::wire::Evidence::Reader getEvidence() const;
+  inline bool hasRow() const;
+  inline  ::wagtail::wire::SharedRow::Reader getRow() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4700,9 +4334,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::EvidenceResults::Builder {
+class EntryPeer::ConfigurationResults::Builder {
 public:
-  typedef EvidenceResults Builds;
+  typedef ConfigurationResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4716,12 +4350,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEvidence();
-  inline  ::wagtail::wire::Evidence::Builder getEvidence();
-  inline void setEvidence( ::wagtail::wire::Evidence::Reader value);
-  inline  ::wagtail::wire::Evidence::Builder initEvidence();
-  inline void adoptEvidence(::capnp::Orphan< ::wagtail::wire::Evidence>&& value);
-  inline ::capnp::Orphan< ::wagtail::wire::Evidence> disownEvidence();
+  inline bool hasRow();
+  inline  ::wagtail::wire::SharedRow::Builder getRow();
+  inline void setRow( ::wagtail::wire::SharedRow::Reader value);
+  inline  ::wagtail::wire::SharedRow::Builder initRow();
+  inline void adoptRow(::capnp::Orphan< ::wagtail::wire::SharedRow>&& value);
+  inline ::capnp::Orphan< ::wagtail::wire::SharedRow> disownRow();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4733,15 +4367,15 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::EvidenceResults::Pipeline {
+class EntryPeer::ConfigurationResults::Pipeline {
 public:
-  typedef EvidenceResults Pipelines;
+  typedef ConfigurationResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::wagtail::wire::Evidence::Pipeline getEvidence();
+  inline  ::wagtail::wire::SharedRow::Pipeline getRow();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5581,46 +5215,18 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TargetPolicy::Reader::getEvidenceAgeMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t TargetPolicy::Builder::getEvidenceAgeMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void TargetPolicy::Builder::setEvidenceAgeMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool TargetPolicy::Reader::getHasEvidence() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool TargetPolicy::Builder::getHasEvidence() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void TargetPolicy::Builder::setHasEvidence(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool TargetPolicy::Reader::getAdmitted() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool TargetPolicy::Builder::getAdmitted() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void TargetPolicy::Builder::setAdmitted(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool TargetReport::Reader::hasLoad() const {
@@ -6829,288 +6435,6 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GuardedRows::Reader::hasConfiguration() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool GuardedRows::Builder::hasConfiguration() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::wagtail::wire::SharedRow::Reader GuardedRows::Reader::getConfiguration() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::wagtail::wire::SharedRow::Builder GuardedRows::Builder::getConfiguration() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::wagtail::wire::SharedRow::Pipeline GuardedRows::Pipeline::getConfiguration() {
-  return  ::wagtail::wire::SharedRow::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void GuardedRows::Builder::setConfiguration( ::wagtail::wire::SharedRow::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::wagtail::wire::SharedRow::Builder GuardedRows::Builder::initConfiguration() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void GuardedRows::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::wagtail::wire::SharedRow>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::wagtail::wire::SharedRow> GuardedRows::Builder::disownConfiguration() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool GuardedRows::Reader::hasVoters() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool GuardedRows::Builder::hasVoters() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::wagtail::wire::SharedRow::Reader GuardedRows::Reader::getVoters() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::wagtail::wire::SharedRow::Builder GuardedRows::Builder::getVoters() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::wagtail::wire::SharedRow::Pipeline GuardedRows::Pipeline::getVoters() {
-  return  ::wagtail::wire::SharedRow::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void GuardedRows::Builder::setVoters( ::wagtail::wire::SharedRow::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::wagtail::wire::SharedRow::Builder GuardedRows::Builder::initVoters() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void GuardedRows::Builder::adoptVoters(
-    ::capnp::Orphan< ::wagtail::wire::SharedRow>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::wagtail::wire::SharedRow> GuardedRows::Builder::disownVoters() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t EvidenceQuestion::Reader::getHave() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t EvidenceQuestion::Builder::getHave() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void EvidenceQuestion::Builder::setHave( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EvidenceQuestion::Reader::getHasRows() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool EvidenceQuestion::Builder::getHasRows() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void EvidenceQuestion::Builder::setHasRows(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EvidenceQuestion::Reader::hasRows() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EvidenceQuestion::Builder::hasRows() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::wagtail::wire::GuardedRows::Reader EvidenceQuestion::Reader::getRows() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::wagtail::wire::GuardedRows::Builder EvidenceQuestion::Builder::getRows() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::wagtail::wire::GuardedRows::Pipeline EvidenceQuestion::Pipeline::getRows() {
-  return  ::wagtail::wire::GuardedRows::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void EvidenceQuestion::Builder::setRows( ::wagtail::wire::GuardedRows::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::wagtail::wire::GuardedRows::Builder EvidenceQuestion::Builder::initRows() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void EvidenceQuestion::Builder::adoptRows(
-    ::capnp::Orphan< ::wagtail::wire::GuardedRows>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::wagtail::wire::GuardedRows> EvidenceQuestion::Builder::disownRows() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Evidence::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Evidence::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Evidence::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Evidence::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Evidence::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Evidence::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Evidence::Reader::getHasAge() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool Evidence::Builder::getHasAge() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void Evidence::Builder::setHasAge(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Evidence::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Evidence::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Evidence::Builder::setAgeMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Evidence::Reader::getHasOwnReadAge() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
-}
-
-inline bool Evidence::Builder::getHasOwnReadAge() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
-}
-inline void Evidence::Builder::setHasOwnReadAge(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Evidence::Reader::getOwnReadAgeMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Evidence::Builder::getOwnReadAgeMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Evidence::Builder::setOwnReadAgeMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Evidence::Reader::getHasRows() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
-}
-
-inline bool Evidence::Builder::getHasRows() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
-}
-inline void Evidence::Builder::setHasRows(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Evidence::Reader::hasRows() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Evidence::Builder::hasRows() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::wagtail::wire::GuardedRows::Reader Evidence::Reader::getRows() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::wagtail::wire::GuardedRows::Builder Evidence::Builder::getRows() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::wagtail::wire::GuardedRows::Pipeline Evidence::Pipeline::getRows() {
-  return  ::wagtail::wire::GuardedRows::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Evidence::Builder::setRows( ::wagtail::wire::GuardedRows::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::wagtail::wire::GuardedRows::Builder Evidence::Builder::initRows() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Evidence::Builder::adoptRows(
-    ::capnp::Orphan< ::wagtail::wire::GuardedRows>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::wagtail::wire::GuardedRows> Evidence::Builder::disownRows() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::GuardedRows>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 #if !CAPNP_LITE
 inline EntryPeer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -7401,81 +6725,56 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool EntryPeer::EvidenceParams::Reader::hasQuestion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryPeer::EvidenceParams::Builder::hasQuestion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::wagtail::wire::EvidenceQuestion::Reader EntryPeer::EvidenceParams::Reader::getQuestion() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::wagtail::wire::EvidenceQuestion::Builder EntryPeer::EvidenceParams::Builder::getQuestion() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::wagtail::wire::EvidenceQuestion::Pipeline EntryPeer::EvidenceParams::Pipeline::getQuestion() {
-  return  ::wagtail::wire::EvidenceQuestion::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void EntryPeer::EvidenceParams::Builder::setQuestion( ::wagtail::wire::EvidenceQuestion::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::wagtail::wire::EvidenceQuestion::Builder EntryPeer::EvidenceParams::Builder::initQuestion() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint64_t EntryPeer::ConfigurationParams::Reader::getHave() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EntryPeer::EvidenceParams::Builder::adoptQuestion(
-    ::capnp::Orphan< ::wagtail::wire::EvidenceQuestion>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t EntryPeer::ConfigurationParams::Builder::getHave() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::wagtail::wire::EvidenceQuestion> EntryPeer::EvidenceParams::Builder::disownQuestion() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::EvidenceQuestion>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void EntryPeer::ConfigurationParams::Builder::setHave( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EntryPeer::EvidenceResults::Reader::hasEvidence() const {
+inline bool EntryPeer::ConfigurationResults::Reader::hasRow() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryPeer::EvidenceResults::Builder::hasEvidence() {
+inline bool EntryPeer::ConfigurationResults::Builder::hasRow() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::wagtail::wire::Evidence::Reader EntryPeer::EvidenceResults::Reader::getEvidence() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::get(_reader.getPointerField(
+inline  ::wagtail::wire::SharedRow::Reader EntryPeer::ConfigurationResults::Reader::getRow() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::wagtail::wire::Evidence::Builder EntryPeer::EvidenceResults::Builder::getEvidence() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::get(_builder.getPointerField(
+inline  ::wagtail::wire::SharedRow::Builder EntryPeer::ConfigurationResults::Builder::getRow() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::wagtail::wire::Evidence::Pipeline EntryPeer::EvidenceResults::Pipeline::getEvidence() {
-  return  ::wagtail::wire::Evidence::Pipeline(_typeless.getPointerField(0));
+inline  ::wagtail::wire::SharedRow::Pipeline EntryPeer::ConfigurationResults::Pipeline::getRow() {
+  return  ::wagtail::wire::SharedRow::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void EntryPeer::EvidenceResults::Builder::setEvidence( ::wagtail::wire::Evidence::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::set(_builder.getPointerField(
+inline void EntryPeer::ConfigurationResults::Builder::setRow( ::wagtail::wire::SharedRow::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::wagtail::wire::Evidence::Builder EntryPeer::EvidenceResults::Builder::initEvidence() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::init(_builder.getPointerField(
+inline  ::wagtail::wire::SharedRow::Builder EntryPeer::ConfigurationResults::Builder::initRow() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryPeer::EvidenceResults::Builder::adoptEvidence(
-    ::capnp::Orphan< ::wagtail::wire::Evidence>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::adopt(_builder.getPointerField(
+inline void EntryPeer::ConfigurationResults::Builder::adoptRow(
+    ::capnp::Orphan< ::wagtail::wire::SharedRow>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::wagtail::wire::Evidence> EntryPeer::EvidenceResults::Builder::disownEvidence() {
-  return ::capnp::_::PointerHelpers< ::wagtail::wire::Evidence>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::wagtail::wire::SharedRow> EntryPeer::ConfigurationResults::Builder::disownRow() {
+  return ::capnp::_::PointerHelpers< ::wagtail::wire::SharedRow>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/libraries/session/dial_pace.h
+++ b/libraries/session/dial_pace.h
@@ -8,8 +8,8 @@
 namespace wagtail::leased {
 
 struct dial_pace_options {
-  /// How long the first attempt waits for a connection. A VM that is down answers nothing at all, so
-  /// an attempt that began before its start only ends here.
+  /// How long the first attempt waits for a connection. A VM that is down answers nothing at all,
+  /// so an attempt that began before its start only ends here.
   duration first_limit = std::chrono::milliseconds(150);
   /// Each attempt in a row waits twice as long, up to this: a route may be slow.
   duration longest_limit = std::chrono::milliseconds(400);
--- a/libraries/target/entry_sessions.cc
+++ b/libraries/target/entry_sessions.cc
@@ -93,9 +93,9 @@
 
 void entry_sessions::Heartbeat(const report& report,
                                const std::function<void(const policy_answer&)>& on_answer) {
-  instant asked_at = MonotonicNow();
-  std::erase_if(sessions_, [asked_at](const auto& item) {
-    return asked_at - item.second.last_answer > kSessionSilenceLimit;
+  instant now = MonotonicNow();
+  std::erase_if(sessions_, [now](const auto& item) {
+    return now - item.second.last_answer > kSessionSilenceLimit;
   });
   for (auto& [entry, session] : sessions_) {
     auto request = session.listener.heartbeatRequest();
@@ -104,17 +104,15 @@
     message.setEnforcedVersion(report.enforced_version);
     message.setReady(report.ready);
     uint64_t generation = session.generation;
-    auto answered = request.send().then(
-        [this, entry = entry, generation, asked_at, on_answer](auto&& response) {
+    auto answered =
+        request.send().then([this, entry = entry, generation, now, on_answer](auto&& response) {
           auto found = sessions_.find(entry);
           if (found != sessions_.end() && found->second.generation == generation) {
             found->second.last_answer = MonotonicNow();
           }
           auto policy = response.getPolicy();
-          on_answer({.asked_at = asked_at,
+          on_answer({.asked_at = now,
                      .version = policy.getConfigurationVersion(),
-                     .has_evidence = policy.getHasEvidence(),
-                     .evidence_age = std::chrono::milliseconds(policy.getEvidenceAgeMs()),
                      .admitted = policy.getAdmitted()});
         });
     loop_.Detach(kj::mv(answered), [this, entry = entry, generation](kj::Exception&& /*error*/) {
--- a/libraries/target/entry_sessions.h
+++ b/libraries/target/entry_sessions.h
@@ -15,11 +15,9 @@
 
 /// What one entry told about the configuration.
 struct policy_answer {
-  instant asked_at{};    ///< when the heartbeat was sent, not when the answer came
-  uint64_t version = 0;  ///< table revision of the newest configuration that the entry knows
-  bool has_evidence = false;
-  duration evidence_age{};  ///< as told by the entry
-  bool admitted = false;    ///< neither the target nor its failure domain is leaving
+  instant asked_at{};     ///< when the heartbeat was sent, not when the answer came
+  uint64_t version = 0;   ///< table revision of the newest configuration that the entry knows
+  bool admitted = false;  ///< neither the target nor its failure domain is leaving
 };
 
 /// The entries that are linked to this daemon, and what is to be told to each. Lives on the loop's
--- a/libraries/target/target_daemon.cc
+++ b/libraries/target/target_daemon.cc
@@ -20,7 +20,7 @@
     : options_(std::move(options)),
       table_(table),
       hooks_(MakeHooks()),
-      gate_(options_.target, options_.failure_domain, options_.freshness),
+      gate_(options_.freshness),
       sessions_(loop_, [this] { return Load(); }) {}
 
 target_daemon::~target_daemon() { Stop(); }
@@ -171,15 +171,7 @@
 }
 
 void target_daemon::OnPolicy(const policy_answer& answer) {
-  // The entry tells this target's part of the configuration only; the gate reads it from one.
-  configuration part;
-  if (!answer.admitted) {
-    part.leaving_targets.insert(options_.target);
-  }
-  gate_.OnConfiguration(part, answer.version);
-  if (answer.has_evidence) {
-    gate_.OnAnswer(answer.asked_at, answer.evidence_age, answer.version);
-  }
+  gate_.OnPolicy(answer.asked_at, answer.version, answer.admitted);
 }
 
 refusal target_daemon::JudgeStart(instant now) const {
@@ -187,7 +179,7 @@
   if (!reason.has_value()) {
     return refusal::kNone;
   }
-  return *reason == start_refusal::kStale ? refusal::kStale : refusal::kLeaving;
+  return *reason == start_refusal::kOutOfTouch ? refusal::kOutOfTouch : refusal::kLeaving;
 }
 
 target_daemon_status target_daemon::Status() {
--- a/libraries/target/target_daemon.h
+++ b/libraries/target/target_daemon.h
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "absl/status/statusor.h"
+#include "freshness/freshness_settings.h"
 #include "freshness/start_gate.h"
 #include "ledger/start_ledger.h"
 #include "placement/placement.h"
--- a/utilities/wagtailctl/command_line.cc
+++ b/utilities/wagtailctl/command_line.cc
@@ -134,11 +134,6 @@
       ->add_option("ID", raw.line.job, "id of the job")
       ->required()
       ->check(CLI::Validator(CheckJob, "ID"));
-  AddCommand(app, raw, command_name::kEnded, "ended",
-             "vouch that a lost entry will never run again, so that its vote is given up")
-      ->add_option("ENTRY", raw.line.lost_entry, "name of the entry")
-      ->required()
-      ->check(CLI::Validator(CheckName, "NAME"));
   AddCommand(app, raw, command_name::kAudit, "audit", "list the changes of configuration")
       ->add_option("--after", raw.line.version, "only changes that made later versions")
       ->check(CLI::Validator(CheckVersion, "VERSION"));
--- a/utilities/wagtailctl/command_line.h
+++ b/utilities/wagtailctl/command_line.h
@@ -31,7 +31,6 @@
   kTargets,
   kJobs,
   kCancel,
-  kEnded,
   kAudit,
 };
 
@@ -47,7 +46,6 @@
   std::string subject;                         ///< of leave and return
   change_kind kind = change_kind::kApplyText;  ///< of apply, leave and return
   std::string job;                             ///< of cancel
-  std::string lost_entry;                      ///< of ended
   uint64_t version = 0;                        ///< of wait; of audit, the last one already known
   std::optional<uint64_t> base_version;        ///< of apply, leave and return
   std::string change_id;                       ///< of apply, leave and return; empty for a new one
--- a/utilities/wagtailctl/commands.cc
+++ b/utilities/wagtailctl/commands.cc
@@ -140,13 +140,6 @@
   return PrintBody(body, line.form, kJobColumns, context.out);
 }
 
-absl::Status RunEnded(const command_line& line, const time_budget& budget, entry_client& client,
-                      command_context& context) {
-  const std::string path = absl::StrCat("/v1/operator/entries/", line.lost_entry, "/ended");
-  const std::string body = TRY(client.Post(path, "{}", budget.ForOneCall()));
-  return PrintBody(body, line.form, {}, context.out);
-}
-
 absl::Status RunWithEntries(const command_line& line, command_context& context) {
   const std::string token = TRY(ReadToken(line.token_file));
   entry_client client({.entries = line.entries, .token = token}, context.http);
@@ -169,8 +162,6 @@
     case command_name::kAudit:
       return RunGet(absl::StrCat("/v1/operator/audit?after=", line.version), kAuditColumns, line,
                     budget, client, context);
-    case command_name::kEnded:
-      return RunEnded(line, budget, client, context);
     case command_name::kCancel:
       return RunCancel(line, budget, client, context);
     case command_name::kCheck:
