A fault soak of the two programs as real processes

Kills, freezes, graceful stops, changed settings, crashed targets (new id, or the same), late and lost orders, a store that is down, slow or loses answers, links to targets, entries and store delayed, cut, silenced one way or both, evacuations, loss of all power: drawn from a seed, overlapping, on addresses of their own on loopback.

--- a/tests/one_run/fake_leased_target.cc
+++ b/tests/one_run/fake_leased_target.cc
@@ -104,7 +104,8 @@
   running_[call.task] = {.run = call.run, .generation = generation};
   began_(call.task);
   bool fails = failing > 0.5;
-  time_.After(settings_.run_time, [this, task = call.task, generation, life = life_, fails] {
+  duration takes = settings_.run_time_of ? settings_.run_time_of(call.task) : settings_.run_time;
+  time_.After(takes, [this, task = call.task, generation, life = life_, fails] {
     auto found = running_.find(task);
     if (life == life_ && found != running_.end() && found->second.generation == generation) {
       End(task, found->second.run, fails ? end_kind::kFailed : end_kind::kDone);
--- a/tests/one_run/fake_leased_target.h
+++ b/tests/one_run/fake_leased_target.h
@@ -22,6 +22,8 @@
     task_room capacity{.cpu = 40'000, .mem_mb = 100'000, .gpu = 0};
     double clock_rate = 0.98;  ///< of the target's clock against true time
     duration run_time = std::chrono::milliseconds(200);
+    /// Where set, how long a run of this task takes.
+    std::function<duration(const task_ref&)> run_time_of{};
     duration stop_time = std::chrono::milliseconds(50);
     int64_t longest_lease_ms = 1000;
     bool keeps_id = false;  ///< the next life has the same id
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -27,30 +28,40 @@
 }
 
 // Runs in the child between fork and exec: system calls only.
-[[noreturn]] void Execute(const char* program, const char* settings, const char* output,
-                          const char* errors) {
+[[noreturn]] void Execute(const char* program, const char* settings, const char* environment,
+                          const char* output, const char* errors) {
   prctl(PR_SET_PDEATHSIG, SIGKILL);
-  dup2(open(output, O_WRONLY | O_CREAT | O_TRUNC, kFileMode), STDOUT_FILENO);
+  dup2(open(output, O_WRONLY | O_CREAT | O_APPEND, kFileMode), STDOUT_FILENO);
   dup2(open(errors, O_WRONLY | O_CREAT | O_APPEND, kFileMode), STDERR_FILENO);
-  execl(program, program, "--settings", settings, static_cast<char*>(nullptr));
+  if (environment == nullptr) {
+    execl(program, program, "--settings", settings, static_cast<char*>(nullptr));
+  } else {
+    std::array<char*, 2> variables = {const_cast<char*>(environment), nullptr};
+    execle(program, program, static_cast<char*>(nullptr), variables.data());
+  }
   _exit(kCannotExecute);
 }
 
 }  // namespace
 
 child_process::child_process(const std::string& program, const std::filesystem::path& folder,
-                             const std::string& name, const std::string& settings)
-    : output_(folder / (name + ".out")), errors_(folder / (name + ".err")) {
+                             const std::string& name, const std::string& settings, settings_way way)
+    : settings_path_(folder / (name + ".jsonc")),
+      output_(folder / (name + ".out")),
+      errors_(folder / (name + ".err")) {
   const char* bin = std::getenv("WAGTAIL_BIN");
   VERIFY(bin != nullptr);
   std::string path = std::string(bin) + "/" + program;
-  std::filesystem::path settings_path = folder / (name + ".jsonc");
-  std::ofstream(settings_path) << settings;
-  std::ofstream(output_) << "";  // the lines of an earlier process of the same name go
+  std::ofstream(settings_path_) << settings;
+  if (way == settings_way::kOption) {
+    std::ofstream(output_) << "";  // the lines of an earlier process of the same name go
+  }
+  std::string variable = "WAGTAILPLANK_NODE_FILE=" + settings_path_.string();
+  const char* environment = way == settings_way::kNodeFile ? variable.c_str() : nullptr;
   pid_ = fork();
   VERIFY(pid_ >= 0);
   if (pid_ == 0) {
-    Execute(path.c_str(), settings_path.c_str(), output_.c_str(), errors_.c_str());
+    Execute(path.c_str(), settings_path_.c_str(), environment, output_.c_str(), errors_.c_str());
   }
 }
 
@@ -107,5 +118,6 @@
 bool child_process::IsRunning() { return !Reap(WNOHANG); }
 
 std::string child_process::StandardError() const { return ReadAll(errors_); }
+std::string child_process::StandardOutput() const { return ReadAll(output_); }
 
 }  // namespace wagtail
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -19,6 +19,12 @@
   uint16_t rpc = 0;  ///< 0: the program has none
 };
 
+/// How a program learns of its settings file.
+enum class settings_way {
+  kOption,   ///< --settings FILE
+  kNodeFile  ///< the environment variable of the users' platform
+};
+
 /// Runs a program of $WAGTAIL_BIN with a settings file. Ends it with the object.
 class child_process {
  public:
@@ -27,7 +33,8 @@
   /// @param name of the files in it
   /// @param settings text of the settings file
   child_process(const std::string& program, const std::filesystem::path& folder,
-                const std::string& name, const std::string& settings);
+                const std::string& name, const std::string& settings,
+                settings_way way = settings_way::kOption);
   ~child_process();
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
@@ -45,12 +52,15 @@
   /// @return whether the test asked this process to end
   bool was_signalled() const { return was_signalled_; }
   std::string StandardError() const;
+  std::string StandardOutput() const;
+  const std::filesystem::path& settings_path() const { return settings_path_; }
   pid_t pid() const { return pid_; }
 
  private:
   bool Reap(int flags);
 
   pid_t pid_ = -1;
+  std::filesystem::path settings_path_;
   std::filesystem::path output_;
   std::filesystem::path errors_;
   bool was_signalled_ = false;
--- a/tests/support/relay_connection.cc
+++ b/tests/support/relay_connection.cc
@@ -89,6 +89,11 @@
   down_.Silence();
 }
 
+void relay_connection::SilenceAnswers() {
+  silent_ = true;
+  down_.Silence();
+}
+
 std::array<pollfd, 2> relay_connection::Wanted(instant now) const {
   auto wanted = [now](int descriptor, const relay_direction& out, const relay_direction& in) {
     int events = (out.wants_read() ? POLLIN : 0) | (in.wants_write(now) ? POLLOUT : 0);
--- a/tests/support/relay_connection.h
+++ b/tests/support/relay_connection.h
@@ -61,6 +61,8 @@
   relay_connection& operator=(const relay_connection&) = delete;
 
   void Silence();
+  /// Drops what comes from the server from now on.
+  void SilenceAnswers();
   /// @return the client's socket and the server's, in this order, with the events waited for
   std::array<pollfd, 2> Wanted(instant now) const;
   /// @return the earliest time at which a chunk becomes due
--- a/tests/support/tcp_relay.cc
+++ b/tests/support/tcp_relay.cc
@@ -20,11 +20,11 @@
 constexpr int kBacklog = 128;
 constexpr duration kLongestPoll = std::chrono::seconds(1);
 
-sockaddr_in Loopback(uint16_t port) {
+sockaddr_in SocketAddress(const loopback_address& where) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(where.port);
+  VERIFY(inet_pton(AF_INET, where.ip.c_str(), &address.sin_addr) == 1);
   return address;
 }
 
@@ -34,11 +34,11 @@
   return descriptor;
 }
 
-int BoundSocket(uint16_t port) {
+int BoundSocket(const loopback_address& where) {
   int descriptor = NewSocket();
   constexpr int kOn = 1;
   VERIFY(setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &kOn, sizeof(kOn)) == 0);
-  sockaddr_in address = Loopback(port);
+  sockaddr_in address = SocketAddress(where);
   VERIFY(bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
   return descriptor;
 }
@@ -63,9 +63,13 @@
 
 }  // namespace
 
-tcp_relay::tcp_relay(uint16_t destination) : destination_(destination) {
-  placeholder_ = BoundSocket(0);
-  port_ = PortOf(placeholder_);
+tcp_relay::tcp_relay(uint16_t destination) : tcp_relay(loopback_address{}, {.port = destination}) {}
+
+tcp_relay::tcp_relay(const loopback_address& listen, const loopback_address& destination)
+    : listen_(listen), destination_(destination) {
+  placeholder_ = BoundSocket(listen_);
+  listen_.port = PortOf(placeholder_);
+  port_ = listen_.port;
   wake_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
   VERIFY(wake_ >= 0);
   Listen();
@@ -96,7 +100,7 @@
 
 void tcp_relay::SetDestination(uint16_t destination) {
   std::lock_guard lock(mutex_);
-  destination_ = destination;
+  destination_.port = destination;
 }
 
 void tcp_relay::SetDelay(duration up, duration down) {
@@ -116,7 +120,7 @@
 }
 
 void tcp_relay::Listen() {
-  listener_ = BoundSocket(port_);
+  listener_ = BoundSocket(listen_);
   VERIFY(listen(listener_, kBacklog) == 0);
 }
 
@@ -142,6 +146,9 @@
   if (mode_ == relay_mode::kSilent || mode_ == relay_mode::kBlackHole) {
     std::ranges::for_each(connections_, &relay_connection::Silence);
   }
+  if (mode_ == relay_mode::kOneWay) {
+    std::ranges::for_each(connections_, &relay_connection::SilenceAnswers);
+  }
   if (mode_ == relay_mode::kCut) {
     connections_.clear();
     close(std::exchange(listener_, -1));
@@ -161,7 +168,7 @@
     int server = NewSocket();
     SendAtOnce(client);
     SendAtOnce(server);
-    sockaddr_in address = Loopback(destination_);
+    sockaddr_in address = SocketAddress(destination_);
     // Failures show up on the first read of the socket.
     static_cast<void>(connect(server, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
     connections_.emplace_back(client, server);
--- a/tests/support/tcp_relay.h
+++ b/tests/support/tcp_relay.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <list>
 #include <mutex>
+#include <string>
 #include <thread>
 
 #include "base/time.h"
@@ -11,10 +12,17 @@
 
 namespace wagtail {
 
+/// An address on loopback.
+struct loopback_address {
+  std::string ip = "127.0.0.1";  ///< 127.x.y.z
+  uint16_t port = 0;
+};
+
 enum class relay_mode {
   kPass,       ///< new connections work; those that went silent stay so
   kSilent,     ///< connections open now go silent for good, new ones work
   kBlackHole,  ///< connections open now go silent for good, new ones are accepted and silent too
+  kOneWay,     ///< connections open now lose what comes back from the destination, new ones work
   kCut,        ///< connections open now are closed, new ones refused
 };
 
@@ -25,6 +33,8 @@
   /// Listens on an ephemeral port.
   /// @param destination port on 127.0.0.1
   explicit tcp_relay(uint16_t destination);
+  /// Listens on a given address.
+  tcp_relay(const loopback_address& listen, const loopback_address& destination);
   ~tcp_relay();
   tcp_relay(const tcp_relay&) = delete;
   tcp_relay& operator=(const tcp_relay&) = delete;
@@ -57,7 +67,8 @@
 
   mutable std::mutex mutex_;
   std::condition_variable applied_;
-  uint16_t destination_;
+  loopback_address listen_;
+  loopback_address destination_;
   relay_mode mode_ = relay_mode::kPass;
   bool mode_pending_ = false;
   bool ending_ = false;
