wagtailctl explain tells a job's story from logs; logging never waits for its reader

A line that the output can't take at once is counted; log_lines_lost tells of it. Weighed: log4cxx's AsyncAppender, which drops as well but costs a thread switch a line and prints its summary in a form of its own.

--- a/libraries/logging/logging.cc
+++ b/libraries/logging/logging.cc
@@ -4,8 +4,11 @@
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <atomic>
+#include <climits>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -25,6 +28,8 @@
   std::mutex mutex;  ///< guards what follows
   logging_options options;
   std::optional<log_limiter> limiter;
+  uint64_t lost = 0;  ///< lines that nobody read in time, since the last that was written
+  uint64_t lost_total = 0;
   log4cxx::LoggerPtr logger;
 };
 
@@ -62,11 +67,36 @@
   return logger;
 }
 
+/// @return whether a whole line can be written at once. A reader that has fallen behind must not
+///   hold up the process.
+bool TakesALine(log_destination destination) {
+  pollfd output{
+      .fd = destination == log_destination::kStandardError ? STDERR_FILENO : STDOUT_FILENO,
+      .events = POLLOUT,
+      .revents = 0};
+  return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
 /// @pre the state's mutex is held
 void WriteLine(logging_state& state, log_level level, std::string_view fact,
                std::span<const log_field> fields) {
+  if (!TakesALine(state.options.destination)) {
+    ++state.lost;
+    ++state.lost_total;
+    return;
+  }
+  if (state.lost > 0) {
+    std::vector<log_field> lost = {{"lines", std::exchange(state.lost, 0)}};
+    WriteLine(state, log_level::kWarning, "log_lines_lost", lost);
+  }
   std::string line =
       FormatFact(state.options.format, state.options.wall_now(), level, fact, fields);
+  // A pipe that can be written to takes this many bytes without blocking.
+  if (line.size() >= PIPE_BUF) {
+    std::vector<log_field> length = {{"of", fact}, {"bytes", line.size()}};
+    line = FormatFact(state.options.format, state.options.wall_now(), log_level::kWarning,
+                      "log_line_too_long", length);
+  }
   state.logger->forcedLogLS(ToLibraryLevel(level), line, LOG4CXX_LOCATION);
 }
 
@@ -77,6 +107,8 @@
   std::lock_guard lock(state.mutex);
   state.logger = MakeLogger(options.destination);
   state.limiter.emplace(options.limit);
+  state.lost = 0;
+  state.lost_total = 0;
   state.options = std::move(options);
   state.least_level = static_cast<int>(state.options.level);
 }
@@ -132,7 +164,7 @@
 uint64_t DroppedLogLines() {
   logging_state& state = State();
   std::lock_guard lock(state.mutex);
-  return state.limiter.has_value() ? state.limiter->dropped_total() : 0;
+  return state.lost_total + (state.limiter.has_value() ? state.limiter->dropped_total() : 0);
 }
 
 }  // namespace wagtail
--- a/libraries/logging/logging.h
+++ b/libraries/logging/logging.h
@@ -37,8 +37,9 @@
 /// @return the least level that is written
 log_level CurrentLogLevel();
 
-/// Writes one line, unless its level is below the current one or its fact comes in a storm. May be
-/// called from any thread.
+/// Writes one line, unless its level is below the current one, its fact comes in a storm, or the
+/// output can't take it at once: then it is counted, and `log_lines_lost` tells of it later. Never
+/// waits for a reader. May be called from any thread.
 /// @param fact name of the fact in snake case, a constant of the program
 /// @param fields what is known of it
 void LogFact(log_level level, std::string_view fact, std::span<const log_field> fields);
@@ -48,7 +49,7 @@
 /// it now and then and before they exit.
 void ReportDroppedFacts();
 
-/// @return lines dropped by the limiter since SetUpLogging
+/// @return lines dropped by the limiter since SetUpLogging, and lines lost because nobody read them
 uint64_t DroppedLogLines();
 
 }  // namespace wagtail
--- a/tests/fault_soak/soak_caller.h
+++ b/tests/fault_soak/soak_caller.h
@@ -32,6 +32,8 @@
   bool HandIn(bool patient);
   /// Hands in jobs until the end of the object.
   void RunOnThread();
+  /// Has the thread take no further job.
+  void BeginEnd() { ending_ = true; }
   void End();
 
  private:
--- a/tests/logging/logging_test.cc
+++ b/tests/logging/logging_test.cc
@@ -1,5 +1,6 @@
 #include "logging/logging.h"
 
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -43,6 +44,39 @@
   int kept_;
 };
 
+/// Sends standard error into a pipe that is read only on request.
+class stderr_into_pipe {
+ public:
+  stderr_into_pipe() : kept_(dup(STDERR_FILENO)) {
+    CHECK_EQUAL(0, pipe(ends_.data()));
+    dup2(ends_[1], STDERR_FILENO);
+  }
+  ~stderr_into_pipe() {
+    dup2(kept_, STDERR_FILENO);
+    close(kept_);
+    close(ends_[0]);
+    close(ends_[1]);
+  }
+  stderr_into_pipe(const stderr_into_pipe&) = delete;
+  stderr_into_pipe& operator=(const stderr_into_pipe&) = delete;
+
+  /// @return what is in the pipe
+  std::string Drain() const {
+    std::string text;
+    std::array<char, 1 << 16> buffer{};
+    pollfd waiting{.fd = ends_[0], .events = POLLIN, .revents = 0};
+    while (poll(&waiting, 1, 0) == 1) {
+      ssize_t size = read(ends_[0], buffer.data(), buffer.size());
+      text.append(buffer.data(), static_cast<size_t>(size));
+    }
+    return text;
+  }
+
+ private:
+  int kept_;
+  std::array<int, 2> ends_{};
+};
+
 constexpr wall_time kTime{std::chrono::seconds(86'400) + std::chrono::microseconds(1'500)};
 
 std::string Format(log_format format, const std::vector<log_field>& fields) {
@@ -170,4 +204,25 @@
   STRCMP_EQUAL(expected.c_str(), captured.Read().c_str());
 }
 
+TEST(Logging, AReaderThatFallsBehindHoldsNothingUp) {
+  stderr_into_pipe output;
+  options_.limit = {.burst = 1e9, .per_second = 1e9};
+  options_.format = log_format::kJson;
+  SetUpLogging(options_);
+  constexpr uint64_t kLines = 20'000;  // several times what a pipe holds
+  for (uint64_t line = 0; line < kLines; ++line) {
+    LogFact(log_level::kInfo, "task_refused", {{"number", line}});
+  }
+  std::string read = output.Drain();
+  auto written = static_cast<uint64_t>(std::ranges::count(read, '\n'));
+  CHECK(written > 0);
+  CHECK(written < kLines);
+  CHECK_EQUAL(kLines - written, DroppedLogLines());
+  LogFact(log_level::kInfo, "task_refused");
+  std::string later = output.Drain();
+  nlohmann::json told = nlohmann::json::parse(later.substr(0, later.find('\n')));
+  STRCMP_EQUAL("log_lines_lost", told["fact"].get<std::string>().c_str());
+  CHECK_EQUAL(kLines - written, told["lines"].get<uint64_t>());
+}
+
 }  // namespace wagtail
--- a/utilities/wagtailctl/command_context.h
+++ b/utilities/wagtailctl/command_context.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <istream>
 #include <ostream>
 #include <string>
 #include <utility>
@@ -20,6 +21,7 @@
   std::function<std::string()> new_change_id;
   std::ostream& out;
   std::ostream& err;
+  std::istream& in;
 };
 
 /// Time allowed to a command as a whole.
--- a/utilities/wagtailctl/command_line.cc
+++ b/utilities/wagtailctl/command_line.cc
@@ -134,6 +134,13 @@
       ->add_option("ID", raw.line.job, "id of the job")
       ->required()
       ->check(CLI::Validator(CheckJob, "ID"));
+  CLI::App* explain = AddCommand(app, raw, command_name::kExplain, "explain",
+                                 "tell a job's story from log files, without a server");
+  explain->add_option("ID", raw.line.job, "id of the job")
+      ->required()
+      ->check(CLI::Validator(CheckJob, "ID"));
+  explain->add_option("LOG", raw.line.logs, "log files (default: standard input)")
+      ->check(CLI::ExistingFile);
   AddCommand(app, raw, command_name::kAudit, "audit", "list the changes of configuration")
       ->add_option("--after", raw.line.version, "only changes that made later versions")
       ->check(CLI::Validator(CheckVersion, "VERSION"));
@@ -194,7 +201,8 @@
     return app.exit(error, out, err) == 0 ? exit_code::kDone : exit_code::kUsage;
   }
   const command_line line = Completed(app, raw);
-  if (line.entries.empty() && line.command != command_name::kCheck) {
+  bool needs_entry = line.command != command_name::kCheck && line.command != command_name::kExplain;
+  if (line.entries.empty() && needs_entry) {
     err << "--entry is required for this command\nRun with --help for more information.\n";
     return exit_code::kUsage;
   }
--- a/utilities/wagtailctl/command_line.h
+++ b/utilities/wagtailctl/command_line.h
@@ -32,6 +32,7 @@
   kJobs,
   kCancel,
   kAudit,
+  kExplain,
 };
 
 /// What the operator asked for.
@@ -45,7 +46,8 @@
   std::string file;                            ///< of apply, check and diff
   std::string subject;                         ///< of leave and return
   change_kind kind = change_kind::kApplyText;  ///< of apply, leave and return
-  std::string job;                             ///< of cancel
+  std::string job;                             ///< of cancel and explain
+  std::vector<std::string> logs;               ///< of explain; none: standard input
   uint64_t version = 0;                        ///< of wait; of audit, the last one already known
   std::optional<uint64_t> base_version;        ///< of apply, leave and return
   std::string change_id;                       ///< of apply, leave and return; empty for a new one
--- a/utilities/wagtailctl/commands.cc
+++ b/utilities/wagtailctl/commands.cc
@@ -2,11 +2,14 @@
 
 #include <array>
 #include <chrono>
+#include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <string>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
 #include "base/try.h"
 #include "base/verify.h"
@@ -15,6 +18,7 @@
 #include "settings/settings_text.h"
 #include "utilities/wagtailctl/answer_table.h"
 #include "utilities/wagtailctl/change_commands.h"
+#include "utilities/wagtailctl/job_story.h"
 
 namespace wagtail {
 
@@ -75,6 +79,52 @@
   return absl::OkStatus();
 }
 
+nlohmann::json JsonOfLine(const story_line& line) {
+  return {{"time", line.time}, {"after_ms", line.after_ms}, {"process", line.process},
+          {"fact", line.fact}, {"fields", line.fields},     {"of_job", line.of_job}};
+}
+
+void PrintStory(const job_story& story, std::ostream& out) {
+  for (const story_line& line : story.lines) {
+    out << absl::StrFormat("%10.1f ms %c %-24s %s %s\n", line.after_ms, line.of_job ? ' ' : '~',
+                           line.process, line.fact, line.fields);
+  }
+  out << story.conclusion << "\n";
+  if (!story.cause.empty()) {
+    out << "cause: " << story.cause << "\n";
+  }
+  if (!story.remedy.empty()) {
+    out << "what helps: " << story.remedy << "\n";
+  }
+}
+
+/// explain: needs no entry, only logs.
+absl::Status RunExplain(const command_line& line, command_context& context) {
+  story_reader reader(line.job);
+  if (line.logs.empty()) {
+    reader.Read(context.in, "standard input");
+  }
+  for (const std::string& file : line.logs) {
+    std::ifstream log(file);
+    reader.Read(log, std::filesystem::path(file).stem().string());
+  }
+  const job_story story = reader.Story();
+  if (line.form == output_form::kHuman) {
+    PrintStory(story, context.out);
+    return absl::OkStatus();
+  }
+  nlohmann::json lines = nlohmann::json::array();
+  std::ranges::transform(story.lines, std::back_inserter(lines),
+                         [](const story_line& each) { return JsonOfLine(each); });
+  context.out << nlohmann::json{{"lines", lines},
+                                {"conclusion", story.conclusion},
+                                {"cause", story.cause},
+                                {"remedy", story.remedy}}
+                     .dump()
+              << "\n";
+  return absl::OkStatus();
+}
+
 nlohmann::json JsonOf(const configuration_difference& difference) {
   nlohmann::json row = {{"path", difference.path}};
   switch (difference.kind) {
@@ -165,6 +215,7 @@
     case command_name::kCancel:
       return RunCancel(line, budget, client, context);
     case command_name::kCheck:
+    case command_name::kExplain:
       break;
   }
   VERIFY_NOT_REACHED();
@@ -191,9 +242,23 @@
 
 }  // namespace
 
+namespace {
+
+absl::Status Run(const command_line& line, command_context& context) {
+  switch (line.command) {
+    case command_name::kCheck:
+      return RunCheck(line, context);
+    case command_name::kExplain:
+      return RunExplain(line, context);
+    default:
+      return RunWithEntries(line, context);
+  }
+}
+
+}  // namespace
+
 exit_code RunCommand(const command_line& line, command_context& context) {
-  const absl::Status status = line.command == command_name::kCheck ? RunCheck(line, context)
-                                                                   : RunWithEntries(line, context);
+  const absl::Status status = Run(line, context);
   if (status.ok()) {
     return exit_code::kDone;
   }
--- a/utilities/wagtailctl/main.cc
+++ b/utilities/wagtailctl/main.cc
@@ -29,7 +29,8 @@
       .sleep = [](wagtail::duration span) { std::this_thread::sleep_for(span); },
       .new_change_id = NewChangeId,
       .out = std::cout,
-      .err = std::cerr};
+      .err = std::cerr,
+      .in = std::cin};
   return static_cast<int>(wagtail::RunCommand(std::get<wagtail::command_line>(parsed), context));
 }
 
