--- a/libraries/board/job_board.h
+++ b/libraries/board/job_board.h
@@ -31,7 +31,7 @@
   /// How long an agent may let a task wait for room before it gives it back, at least and at most;
   /// in between, as long as its start still meets the objective.
   duration least_agent_wait = std::chrono::milliseconds(30);
-  duration most_agent_wait = std::chrono::milliseconds(200);
+  duration most_agent_wait = std::chrono::milliseconds(60);
   /// An entry that has no target to offer takes jobs for this long all the same: after a restart or
   /// a cut the agents are about to come back.
   duration target_grace = std::chrono::milliseconds(1500);
--- a/tests/board/job_board_test.cc
+++ b/tests/board/job_board_test.cc
@@ -91,6 +91,24 @@
   CHECK_EQUAL(0, board.jobs());
 }
 
+// Several entries may think the same target free. Its agent gives back what it can't start, early
+// enough for a start elsewhere that is still in time.
+TEST(JobBoard, ATaskThatItsAgentCantStartIsInTimeElsewhere) {
+  AddTarget(1);
+  job_submission job = Job("a", 1);
+  job.steps[0].estimate = Ms(250);  // in time if it starts within 210 ms
+  Submit(5, job);
+  CHECK_EQUAL(1, places.at(0));
+  AddTarget(2);
+  now += orders.at(0).max_wait;
+  board.Reported(1, Serving(0), now);
+  End(orders[0], run_outcome::kNotStarted, "no_room");
+  CHECK_EQUAL(2, orders.size());
+  CHECK_EQUAL(2, places[1]);
+  // A second agent that is full as well must leave time for a third.
+  CHECK(orders[1].latest_start >= 2 * orders[1].max_wait);
+}
+
 TEST(JobBoard, ALaterStepWaitsForTheEarlierOnes) {
   AddTarget(1);
   job_submission job = Job("a", 1);
--- a/tests/fault_soak/run_watch.cc
+++ b/tests/fault_soak/run_watch.cc
@@ -1,5 +1,6 @@
 #include "tests/fault_soak/run_watch.h"
 
+#include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
 
@@ -20,8 +21,8 @@
   begun_jobs_.insert(task.job);
   std::map<std::string, std::string>& places = running_[task];
   for (const auto& [other, since] : places) {
-    Add("two runs at once: " + Name(task) + " at " + target + " and, since " + since + ", at " +
-        other);
+    Add(absl::StrCat("two runs at once: ", Name(task), " at ", target, " and, since ", since,
+                     ", at ", other));
   }
   places[target] = Now();
 }
--- a/utilities/wagtailctl/job_story.cc
+++ b/utilities/wagtailctl/job_story.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <nlohmann/json.hpp>
-#include <ranges>
 #include <set>
 
 #include "absl/strings/str_cat.h"
@@ -111,7 +111,8 @@
 job_story story_reader::Story() const {
   std::vector<log_line> sorted = lines_;
   std::ranges::stable_sort(sorted, {}, &log_line::time);
-  auto own = sorted | std::views::filter(&log_line::of_job);
+  std::vector<log_line> own;
+  std::ranges::copy_if(sorted, std::back_inserter(own), &log_line::of_job);
   job_story story;
   if (own.empty()) {
     story.conclusion = "no line about this job: wrong id, or the logs of another time or process";
@@ -137,8 +138,7 @@
                              .of_job = line.of_job});
     }
   }
-  std::erase_if(sorted, [](const log_line& line) { return !line.of_job; });
-  Conclude(sorted, story);
+  Conclude(own, story);
   return story;
 }
 
