The fault soak reserves its addresses

Ruled out: the programs under test; nothing was started yet. Now a run binds a mark under its prefix and takes the next prefix if that is taken.

--- a/tests/fault_soak/soak_world.cc
+++ b/tests/fault_soak/soak_world.cc
@@ -1,5 +1,7 @@
 #include "tests/fault_soak/soak_world.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -14,6 +16,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
+#include "base/verify.h"
 
 namespace wagtail::leased {
 namespace {
@@ -41,10 +44,24 @@
   }
 }
 
-/// Processes of one run have addresses that no other run on this machine has.
+/// Takes addresses that no other run on this machine has, for as long as the process lives.
+/// @return what they begin with
 std::string OwnPrefix() {
-  constexpr pid_t kPrefixes = 120;
-  return absl::StrCat("127.", 20 + getpid() % kPrefixes, ".");
+  constexpr unsigned kFirst = 20;
+  constexpr unsigned kLast = 250;
+  for (unsigned number = kFirst; number <= kLast; ++number) {
+    std::string prefix = absl::StrCat("127.", number, ".");
+    sockaddr_in mark{};
+    mark.sin_family = AF_INET;
+    mark.sin_port = htons(kSessionPort);
+    VERIFY(inet_pton(AF_INET, (prefix + "1.9").c_str(), &mark.sin_addr) == 1);
+    int taken = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (bind(taken, reinterpret_cast<sockaddr*>(&mark), sizeof(mark)) == 0) {
+      return prefix;
+    }
+    close(taken);
+  }
+  VERIFY_NOT_REACHED();
 }
 
 }  // namespace
