--- a/libraries/leases/run_keeper.cc
+++ b/libraries/leases/run_keeper.cc
@@ -88,14 +88,8 @@
   life_.reset();
   renewals_.clear();
   lapse_by_.reset();
-  std::vector<uint64_t> gone;
-  for (const auto& [serial, entry] : runs_) {
-    if (entry.state != run_state::kQueued) {
-      gone.push_back(serial);
-    }
-  }
-  for (uint64_t serial : gone) {
-    Finish(runs_.find(serial), run_outcome::kLost, std::string(reason), instant{});
+  for (uint64_t serial : runs_.AtTarget()) {
+    Finish(serial, run_outcome::kLost, std::string(reason), instant{});
   }
 }
 
@@ -121,14 +115,8 @@
 }
 
 void run_keeper::EndSession(session_id session, const std::string& reason, instant now) {
-  std::vector<uint64_t> serials;
-  for (const auto& [serial, entry] : runs_) {
-    if (entry.order.session == session && !entry.unwanted) {
-      serials.push_back(serial);
-    }
-  }
-  for (uint64_t serial : serials) {
-    Stop(serial, runs_.at(serial), reason, now);
+  for (uint64_t serial : runs_.WantedBy(session)) {
+    Stop(serial, runs_.find(serial)->second, reason, now);
   }
 }
 
@@ -142,17 +130,7 @@
 }
 
 bool run_keeper::StopOverdue(instant now) const {
-  return std::ranges::any_of(runs_, [&](const auto& item) {
-    const run& entry = item.second;
-    return entry.state == run_state::kStopping && now - entry.first_stop > options_.stop_limit;
-  });
-}
-
-bool run_keeper::TaskIsLive(const run& candidate) const {
-  return std::ranges::any_of(runs_, [&](const auto& item) {
-    const run& entry = item.second;
-    return entry.state != run_state::kQueued && entry.order.task == candidate.order.task;
-  });
+  return runs_.StopOverdue(now, options_.stop_limit);
 }
 
 task_room run_keeper::Free() const {
@@ -160,11 +138,7 @@
     return {};
   }
   task_room free = life_->announced.capacity;
-  for (const auto& [serial, entry] : runs_) {
-    if (entry.state != run_state::kQueued) {
-      free -= entry.order.room;
-    }
-  }
+  free -= runs_.Occupied();
   return free;
 }
 
@@ -175,26 +149,22 @@
 
 void run_keeper::Order(run_order order, instant now) {
   Expire(now);
-  bool known = std::ranges::any_of(runs_, [&](const auto& item) {
-    return item.second.order.session == order.session && item.second.order.order == order.order;
-  });
+  bool known = runs_.FindOrder(order.session, order.order) != runs_.end();
   if (known) {
     return;
   }
   uint64_t serial = next_serial_++;
-  auto entry = runs_.emplace(serial, run{.order = std::move(order), .arrived = now}).first;
-  run& added = entry->second;
-  added.number = added.order.run;
+  const kept_run& added = runs_.Add(serial, std::move(order), now);
   if (!IsVouchedFor(added.order.session, now)) {
-    Finish(entry, run_outcome::kNotStarted, "entry_silent", now);
+    Finish(serial, run_outcome::kNotStarted, "entry_silent", now);
     return;
   }
   if (!MayStart()) {
-    Finish(entry, run_outcome::kNotStarted, "not_serving", now);
+    Finish(serial, run_outcome::kNotStarted, "not_serving", now);
     return;
   }
   if (!life_->announced.capacity.Holds(added.order.room)) {
-    Finish(entry, run_outcome::kNotStarted, "too_large", now);
+    Finish(serial, run_outcome::kNotStarted, "too_large", now);
     return;
   }
   // A caller that sent its job again through another entry is served by the newer one.
@@ -211,9 +181,7 @@
 }
 
 void run_keeper::Withdraw(session_id session, uint64_t order, instant now) {
-  auto entry = std::ranges::find_if(runs_, [&](const auto& item) {
-    return item.second.order.session == session && item.second.order.order == order;
-  });
+  auto entry = runs_.FindOrder(session, order);
   if (entry != runs_.end() && !entry->second.unwanted) {
     Stop(entry->first, entry->second, "withdrawn", now);
   }
@@ -228,30 +196,18 @@
   if (!MayStart() || StopOverdue(now)) {
     return;
   }
-  std::vector<std::pair<uint64_t, run*>> waiting;
-  for (auto& [serial, entry] : runs_) {
-    if (entry.state == run_state::kQueued) {
-      waiting.emplace_back(serial, &entry);
-    }
-  }
-  std::ranges::stable_sort(waiting, {}, [](const auto& item) {
-    return std::pair(item.second->arrived + item.second->order.latest_start,
-                     item.second->order.priority);
-  });
   task_room free = Free();
-  for (auto& [serial, entry] : waiting) {
-    if (!free.Holds(entry->order.room)) {
-      continue;
-    }
-    if (TaskIsLive(*entry)) {
+  for (uint64_t serial : runs_.Waiting()) {
+    kept_run& entry = runs_.find(serial)->second;
+    if (!free.Holds(entry.order.room) || runs_.IsAtTarget(entry.order.task)) {
       continue;
     }
-    free -= entry->order.room;
-    Start(serial, *entry, now);
+    free -= entry.order.room;
+    Start(serial, entry, now);
   }
 }
 
-void run_keeper::Start(uint64_t serial, run& entry, instant now) {
+void run_keeper::Start(uint64_t serial, kept_run& entry, instant now) {
   std::optional<int64_t> lease = NextLease(now);
   VERIFY(lease.has_value());
   entry.state = run_state::kStarting;
@@ -268,12 +224,12 @@
                    .limit = options_.answer_limit});
 }
 
-void run_keeper::Stop(uint64_t serial, run& entry, std::string reason, instant now) {
+void run_keeper::Stop(uint64_t serial, kept_run& entry, std::string reason, instant now) {
   entry.unwanted = true;
   entry.reason = std::move(reason);
   switch (entry.state) {
     case run_state::kQueued:
-      Finish(runs_.find(serial), run_outcome::kNotStarted, entry.reason, now);
+      Finish(serial, run_outcome::kNotStarted, entry.reason, now);
       return;
     case run_state::kRunning:
       Note("run_stopping", entry, entry.reason);
@@ -287,7 +243,7 @@
   }
 }
 
-void run_keeper::AskStop(uint64_t serial, run& entry, instant now) {
+void run_keeper::AskStop(uint64_t serial, kept_run& entry, instant now) {
   entry.state = run_state::kStopping;
   entry.stop_asked = now;
   if (!life_.has_value()) {
@@ -319,7 +275,7 @@
     }
   }
   for (uint64_t serial : refused) {
-    Finish(runs_.find(serial), run_outcome::kNotStarted, serving ? "no_room" : "not_serving", now);
+    Finish(serial, run_outcome::kNotStarted, serving ? "no_room" : "not_serving", now);
   }
 }
 
@@ -390,7 +346,7 @@
   if (found == runs_.end() || found->second.state != run_state::kStarting) {
     return;  // settled meanwhile by a renewal or by the end of the target's life
   }
-  run& entry = found->second;
+  kept_run& entry = found->second;
   switch (answer) {
     case start_answer::kStarted:
       entry.state = run_state::kRunning;
@@ -420,30 +376,30 @@
       entry.state = run_state::kQueued;
       entry.number += kRunNumberJump;
       if (entry.number > kMostRunNumber) {
-        Finish(found, run_outcome::kNotStarted, "old_run", now);
+        Finish(found->first, run_outcome::kNotStarted, "old_run", now);
         return;
       }
       break;
     case start_answer::kLate:
-      Finish(found, run_outcome::kNotStarted, "lease_over", now);
+      Finish(found->first, run_outcome::kNotStarted, "lease_over", now);
       return;
     case start_answer::kNoRoom:
-      Finish(found, run_outcome::kNotStarted, "target_full", now);
+      Finish(found->first, run_outcome::kNotStarted, "target_full", now);
       return;
     case start_answer::kOtherLife:
       life_->reached = false;
-      Finish(found, run_outcome::kNotStarted, "target_replaced", now);
+      Finish(found->first, run_outcome::kNotStarted, "target_replaced", now);
       return;
     case start_answer::kUnhealthy:
       speed_.Failed();
-      Finish(found, run_outcome::kNotStarted, "target_unhealthy", now);
+      Finish(found->first, run_outcome::kNotStarted, "target_unhealthy", now);
       return;
     case start_answer::kInvalid:
-      Finish(found, run_outcome::kNotStarted, "invalid", now);
+      Finish(found->first, run_outcome::kNotStarted, "invalid", now);
       return;
   }
   if (entry.unwanted) {
-    Finish(found, run_outcome::kNotStarted, entry.reason, now);
+    Finish(found->first, run_outcome::kNotStarted, entry.reason, now);
     return;
   }
   StartWhatFits(now);
@@ -480,26 +436,26 @@
 void run_keeper::TakeEnds(const target_report& report, instant now) {
   for (const seen_end& end : report.ended) {
     life_->last_end = std::max(life_->last_end, end.number);
-    auto found = Find(end.task, end.run);
+    auto found = runs_.FindAtTarget(end.task, end.run);
     if (found == runs_.end()) {
       continue;
     }
-    run& entry = found->second;
+    kept_run& entry = found->second;
     switch (end.kind) {
       case end_kind::kDone:
         speed_.Done(now - entry.started, entry.order.estimate);
-        Finish(found, run_outcome::kDone, "", now);
+        Finish(found->first, run_outcome::kDone, "", now);
         break;
       case end_kind::kFailed:
         speed_.Failed();
-        Finish(found, run_outcome::kFailed, "", now);
+        Finish(found->first, run_outcome::kFailed, "", now);
         break;
       case end_kind::kStopped:
-        Finish(found, run_outcome::kStopped, entry.reason, now);
+        Finish(found->first, run_outcome::kStopped, entry.reason, now);
         break;
       case end_kind::kLapsed:
       case end_kind::kOther:
-        Finish(found, run_outcome::kLost, "lapsed", now);
+        Finish(found->first, run_outcome::kLost, "lapsed", now);
         break;
     }
   }
@@ -509,7 +465,7 @@
                              instant now) {
   bool strangers = false;
   for (const seen_run& seen : report.running) {
-    auto found = Find(seen.task, seen.run);
+    auto found = runs_.FindAtTarget(seen.task, seen.run);
     if (found == runs_.end()) {
       strangers = true;
       call_(stop_call{.instance = life_->announced.id,
@@ -519,7 +475,7 @@
                       .fence = fence_});
       continue;
     }
-    run& entry = found->second;
+    kept_run& entry = found->second;
     if (entry.state == run_state::kDoubtful) {
       Note("start_confirmed", entry, "listed as running");
       entry.state = run_state::kRunning;
@@ -548,7 +504,7 @@
   for (uint64_t run_serial : missing) {
     auto found = runs_.find(run_serial);
     bool void_start = found->second.state == run_state::kDoubtful && !found->second.may_have_run;
-    Finish(found, void_start ? run_outcome::kNotStarted : run_outcome::kLost,
+    Finish(run_serial, void_start ? run_outcome::kNotStarted : run_outcome::kLost,
            void_start ? "start_unanswered" : "not_listed", now);
   }
 }
@@ -584,12 +540,7 @@
   if (!lapsed) {
     return;
   }
-  std::vector<uint64_t> gone;
-  for (const auto& [serial, entry] : runs_) {
-    if (entry.state != run_state::kQueued) {
-      gone.push_back(serial);
-    }
-  }
+  std::vector<uint64_t> gone = runs_.AtTarget();
   if (gone.empty()) {
     return;
   }
@@ -599,7 +550,7 @@
     life_->reached = false;
   }
   for (uint64_t serial : gone) {
-    Finish(runs_.find(serial), run_outcome::kLost, "lapsed", now);
+    Finish(serial, run_outcome::kLost, "lapsed", now);
   }
 }
 
@@ -625,27 +576,17 @@
   }
 }
 
-run_keeper::run_map::iterator run_keeper::Find(const task_ref& task, uint32_t number) {
-  return std::ranges::find_if(runs_, [&](const auto& item) {
-    const run& entry = item.second;
-    return entry.state != run_state::kQueued && entry.number == number && entry.order.task == task;
-  });
-}
-
-void run_keeper::Finish(run_map::iterator entry, run_outcome outcome, std::string reason,
-                        instant now) {
-  const run& ended = entry->second;
+void run_keeper::Finish(uint64_t serial, run_outcome outcome, std::string reason, instant now) {
+  const kept_run ended = runs_.Take(serial);
   bool started = ended.state != run_state::kQueued && outcome != run_outcome::kNotStarted;
-  run_result result{.session = ended.order.session,
-                    .order = ended.order.order,
-                    .task = ended.order.task,
-                    .outcome = outcome,
-                    .reason = std::move(reason),
-                    .run = ended.number,
-                    .waited = started ? ended.started - ended.arrived : now - ended.arrived,
-                    .ran = started && now > ended.started ? now - ended.started : duration::zero()};
-  runs_.erase(entry);
-  result_(std::move(result));
+  result_({.session = ended.order.session,
+           .order = ended.order.order,
+           .task = ended.order.task,
+           .outcome = outcome,
+           .reason = std::move(reason),
+           .run = ended.number,
+           .waited = started ? ended.started - ended.arrived : now - ended.arrived,
+           .ran = started && now > ended.started ? now - ended.started : duration::zero()});
 }
 
 target_status run_keeper::Load() const {
@@ -663,22 +604,13 @@
   load.service = announced.service;
   load.capacity = announced.capacity;
   load.free = Free();
-  for (const auto& [serial, entry] : runs_) {
-    if (entry.state == run_state::kQueued) {
-      load.queued_cpu += entry.order.room.cpu;
-    }
-  }
+  load.queued_cpu = runs_.WaitingCpu();
   load.slowness = speed_.slowness();
   load.failing = speed_.failing();
   load.mean_run = speed_.mean_run();
   return load;
 }
 
-bool run_keeper::IsBusy(session_id session) const {
-  return std::ranges::any_of(
-      runs_, [session](const auto& item) { return item.second.order.session == session; });
-}
-
 bool run_keeper::Settled() const {
   if (!life_.has_value() || !life_->taken_over) {
     return false;
@@ -687,7 +619,7 @@
       runs_, [this](const auto& item) { return sessions_.contains(item.second.order.session); });
 }
 
-void run_keeper::Note(std::string_view fact, const run& about, std::string detail) const {
+void run_keeper::Note(std::string_view fact, const kept_run& about, std::string detail) const {
   note_({.fact = fact, .task = about.order.task, .run = about.number, .detail = std::move(detail)});
 }
 
--- a/libraries/leases/run_keeper.h
+++ b/libraries/leases/run_keeper.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "leases/run_events.h"
 #include "leases/run_speed.h"
+#include "leases/run_table.h"
 #include "leases/target_clock.h"
 #include "plan/operating_plan.h"
 
@@ -100,34 +101,13 @@
   /// @return whether nothing that was ordered in a closed session can run any more
   bool Settled() const;
   /// @return whether orders of this session have no final word yet
-  bool IsBusy(session_id session) const;
+  bool IsBusy(session_id session) const { return runs_.IsBusy(session); }
   /// @return orders without a final word
   size_t size() const { return runs_.size(); }
   /// @return whether the target is known, reachable and free of unknown runs
   bool Ready() const;
 
  private:
-  enum class run_state {
-    kQueued,
-    kStarting,  ///< asked for, not answered
-    kDoubtful,  ///< no answer: waits for the fence to make it void
-    kRunning,
-    kStopping,  ///< stop asked for, its end is not listed yet
-  };
-  struct run {
-    run_order order;
-    uint32_t number = 0;
-    run_state state = run_state::kQueued;
-    instant arrived{};
-    instant started{};
-    uint64_t fence = 0;            ///< that the start carried
-    uint64_t renewals_before = 0;  ///< serial of the newest renewal when the start was answered
-    instant stop_asked{};
-    instant first_stop{};
-    bool may_have_run = false;  ///< in an earlier life of the target
-    bool unwanted = false;      ///< its entry is gone or gave it up
-    std::string reason{};       ///< why it is unwanted
-  };
   struct life {
     explicit life(target_announcement first) : announced(std::move(first)) {}
 
@@ -138,20 +118,17 @@
     uint64_t last_end = 0;
   };
 
-  using run_map = std::map<uint64_t, run>;
-
   void BeginLife(const target_announcement& announcement, instant now);
   void EndLife(std::string_view reason);
   void BeginLifeUnderSameId(const target_announcement& announcement, instant now);
   bool MayStart() const;
   bool StopOverdue(instant now) const;
-  bool TaskIsLive(const run& candidate) const;
   task_room Free() const;
 
   void StartWhatFits(instant now);
-  void Start(uint64_t serial, run& entry, instant now);
-  void Stop(uint64_t serial, run& entry, std::string reason, instant now);
-  void AskStop(uint64_t serial, run& entry, instant now);
+  void Start(uint64_t serial, kept_run& entry, instant now);
+  void Stop(uint64_t serial, kept_run& entry, std::string reason, instant now);
+  void AskStop(uint64_t serial, kept_run& entry, instant now);
   void RefuseWaiting(instant now);
   void RetryStops(instant now);
   void RaiseFence(instant now);
@@ -164,10 +141,9 @@
   void AllowForOtherLife(instant now);
   void Expire(instant now);
   bool IsVouchedFor(session_id session, instant now) const;
-  void Finish(run_map::iterator entry, run_outcome outcome, std::string reason, instant now);
+  void Finish(uint64_t serial, run_outcome outcome, std::string reason, instant now);
   void EndSession(session_id session, const std::string& reason, instant now);
-  run_map::iterator Find(const task_ref& task, uint32_t number);
-  void Note(std::string_view fact, const run& about, std::string detail) const;
+  void Note(std::string_view fact, const kept_run& about, std::string detail) const;
 
   run_keeper_options options_;
   call_hook call_;
@@ -178,7 +154,7 @@
   std::string domain_;
   target_clock clock_;
   run_speed speed_;
-  run_map runs_;
+  run_table runs_;
   std::map<session_id, instant> sessions_;  ///< until when each is vouched for
   std::set<std::string> leaving_domains_;
   uint64_t fence_;
--- /dev/null
+++ b/libraries/leases/run_table.cc
@@ -0,0 +1,108 @@
+#include "leases/run_table.h"
+
+#include <algorithm>
+
+#include "base/verify.h"
+
+namespace wagtail::leased {
+namespace {
+
+bool IsAtTarget(const kept_run& run) { return run.state != run_state::kQueued; }
+
+template <typename condition>
+std::vector<uint64_t> SerialsWhere(const run_table::map& runs, condition holds) {
+  std::vector<uint64_t> serials;
+  for (const auto& [serial, run] : runs) {
+    if (holds(run)) {
+      serials.push_back(serial);
+    }
+  }
+  return serials;
+}
+
+}  // namespace
+
+kept_run& run_table::Add(uint64_t serial, run_order order, instant now) {
+  uint32_t number = order.run;
+  auto [added, is_new] =
+      runs_.emplace(serial, kept_run{.order = std::move(order), .number = number, .arrived = now});
+  VERIFY(is_new);
+  return added->second;
+}
+
+kept_run run_table::Take(uint64_t serial) {
+  auto taken = runs_.extract(serial);
+  VERIFY(!taken.empty());
+  return std::move(taken.mapped());
+}
+
+run_table::map::iterator run_table::FindOrder(session_id session, uint64_t order) {
+  return std::ranges::find_if(runs_, [&](const auto& item) {
+    return item.second.order.session == session && item.second.order.order == order;
+  });
+}
+
+run_table::map::iterator run_table::FindAtTarget(const task_ref& task, uint32_t number) {
+  return std::ranges::find_if(runs_, [&](const auto& item) {
+    const kept_run& run = item.second;
+    return leased::IsAtTarget(run) && run.number == number && run.order.task == task;
+  });
+}
+
+std::vector<uint64_t> run_table::AtTarget() const {
+  return SerialsWhere(runs_, [](const kept_run& run) { return leased::IsAtTarget(run); });
+}
+
+std::vector<uint64_t> run_table::Waiting() const {
+  std::vector<uint64_t> waiting =
+      SerialsWhere(runs_, [](const kept_run& run) { return !leased::IsAtTarget(run); });
+  std::ranges::stable_sort(waiting, {}, [this](uint64_t serial) {
+    const kept_run& run = runs_.at(serial);
+    return std::pair(run.arrived + run.order.latest_start, run.order.priority);
+  });
+  return waiting;
+}
+
+std::vector<uint64_t> run_table::WantedBy(session_id session) const {
+  return SerialsWhere(runs_, [session](const kept_run& run) {
+    return run.order.session == session && !run.unwanted;
+  });
+}
+
+bool run_table::IsAtTarget(const task_ref& task) const {
+  return std::ranges::any_of(runs_, [&](const auto& item) {
+    return leased::IsAtTarget(item.second) && item.second.order.task == task;
+  });
+}
+
+bool run_table::IsBusy(session_id session) const {
+  return std::ranges::any_of(
+      runs_, [session](const auto& item) { return item.second.order.session == session; });
+}
+
+bool run_table::StopOverdue(instant now, duration limit) const {
+  return std::ranges::any_of(runs_, [&](const auto& item) {
+    const kept_run& run = item.second;
+    return run.state == run_state::kStopping && now - run.first_stop > limit;
+  });
+}
+
+task_room run_table::Occupied() const {
+  task_room occupied;
+  for (const auto& [serial, run] : runs_) {
+    if (leased::IsAtTarget(run)) {
+      occupied += run.order.room;
+    }
+  }
+  return occupied;
+}
+
+int64_t run_table::WaitingCpu() const {
+  int64_t cpu = 0;
+  for (const auto& [serial, run] : runs_) {
+    cpu += leased::IsAtTarget(run) ? 0 : run.order.room.cpu;
+  }
+  return cpu;
+}
+
+}  // namespace wagtail::leased
