A job with a voided start is not refused as not run

Cause: 'not run' was said of jobs of which a start without an answer had been made void by a fence. Now such an order ends as voided, the job goes on until its deadline and is answered 504. Tests: JobBoard.AJobWithAVoidedStartIsNotRefusedAsNotRun (failed without the change).

--- a/libraries/board/job_board.cc
+++ b/libraries/board/job_board.cc
@@ -237,7 +237,7 @@
   task& item = TaskAt(owner, place);
   item.next_run = std::max(item.next_run, result.run + 1);
   if (result.outcome != run_outcome::kNotStarted) {
-    owner.started = true;
+    owner.started = true;  // or may start late, if it was voided
   }
   switch (result.outcome) {
     case run_outcome::kDone:
@@ -254,6 +254,7 @@
       TaskFailed(owner, item, item.agent);
       return;
     case run_outcome::kNotStarted:
+    case run_outcome::kVoided:
       item.next_run = result.run == 0 ? item.next_run : result.run;
       if (result.reason != "no_room") {
         item.avoided.push_back(item.agent);
--- a/libraries/leases/run_events.h
+++ b/libraries/leases/run_events.h
@@ -52,6 +52,8 @@
   kStopped,     ///< by order, or because its entry no longer vouched for it
   kLost,        ///< lapsed, or gone with its target; certainly not running any more
   kNotStarted,  ///< refused, and never started under this order
+  kVoided,      ///< asked for without an answer, and made void: can start no more in this life of
+                ///< the target, but perhaps in another one under the same id
 };
 
 /// The final word on one order.
--- a/libraries/leases/run_keeper.cc
+++ b/libraries/leases/run_keeper.cc
@@ -504,7 +504,7 @@
   for (uint64_t run_serial : missing) {
     auto found = runs_.find(run_serial);
     bool void_start = found->second.state == run_state::kDoubtful && !found->second.may_have_run;
-    Finish(run_serial, void_start ? run_outcome::kNotStarted : run_outcome::kLost,
+    Finish(run_serial, void_start ? run_outcome::kVoided : run_outcome::kLost,
            void_start ? "start_unanswered" : "not_listed", now);
   }
 }
@@ -578,7 +578,8 @@
 
 void run_keeper::Finish(uint64_t serial, run_outcome outcome, std::string reason, instant now) {
   const kept_run ended = runs_.Take(serial);
-  bool started = ended.state != run_state::kQueued && outcome != run_outcome::kNotStarted;
+  bool started = ended.state != run_state::kQueued && outcome != run_outcome::kNotStarted &&
+                 outcome != run_outcome::kVoided;
   result_({.session = ended.order.session,
            .order = ended.order.order,
            .task = ended.order.task,
--- a/libraries/session/session.capnp
+++ b/libraries/session/session.capnp
@@ -58,6 +58,7 @@
   stopped @2;       # by order of the entry, or its vouching lapsed
   lost @3;          # lapsed or gone with the target; certainly not running any more
   notStarted @4;    # refused, and never will be started under this order
+  voided @5;        # asked for without an answer and made void, for this life of the target
 }
 
 struct TaskResult {
--- a/libraries/session/session.capnp.h
+++ b/libraries/session/session.capnp.h
@@ -31,6 +31,7 @@
   STOPPED,
   LOST,
   NOT_STARTED,
+  VOIDED,
 };
 CAPNP_DECLARE_ENUM(Outcome, bafb08460f346c0c);
 CAPNP_DECLARE_SCHEMA(e720952a954cfa50);
--- a/libraries/session/session_codec.cc
+++ b/libraries/session/session_codec.cc
@@ -28,6 +28,8 @@
       return session_wire::Outcome::LOST;
     case run_outcome::kNotStarted:
       return session_wire::Outcome::NOT_STARTED;
+    case run_outcome::kVoided:
+      return session_wire::Outcome::VOIDED;
   }
   return session_wire::Outcome::LOST;
 }
@@ -42,6 +44,8 @@
       return run_outcome::kStopped;
     case session_wire::Outcome::NOT_STARTED:
       return run_outcome::kNotStarted;
+    case session_wire::Outcome::VOIDED:
+      return run_outcome::kVoided;
     case session_wire::Outcome::LOST:
       break;
   }
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -37,6 +37,8 @@
       return "stopped";
     case run_outcome::kLost:
       return "lost";
+    case run_outcome::kVoided:
+      return "voided";
     case run_outcome::kNotStarted:
       return "not_started";
   }
--- a/tests/board/job_board_test.cc
+++ b/tests/board/job_board_test.cc
@@ -109,6 +109,21 @@
   CHECK(orders[1].latest_start >= 2 * orders[1].max_wait);
 }
 
+// A start that was made void may still be carried out, in a later life of its target under the same
+// id: "not run" would not be certain.
+TEST(JobBoard, AJobWithAVoidedStartIsNotRefusedAsNotRun) {
+  AddTarget(1);
+  Submit(5, Job("a", 1));
+  board.Result({.session = 1, .order = orders[0].order, .outcome = run_outcome::kVoided, .run = 1});
+  board.Closed(1, now);
+  now += Ms(1000);  // past its latest start
+  board.Tick(now);
+  CHECK_EQUAL(0, answers.size());
+  now += Ms(900);
+  board.Tick(now);
+  CHECK(answers.at(0).answer.outcome == job_outcome::kAbandoned);
+}
+
 TEST(JobBoard, ALaterStepWaitsForTheEarlierOnes) {
   AddTarget(1);
   job_submission job = Job("a", 1);
--- a/tests/one_run/one_run_world.h
+++ b/tests/one_run/one_run_world.h
@@ -67,6 +67,8 @@
   void Carry(agent_node& agent, const target_call& call);
   void Flush(entry_node& entry);
   void Tell(const std::string& job, const std::string& what);
+  /// Records a broken promise with the story of its job.
+  void Broken(std::string what, const std::string& job);
 
   void NewJob();
   void Send(const std::shared_ptr<caller>& who);
