One limit for contact and spread of a configuration

Cause: two settings of 3 s where one follows from the other: a version is in force once whoever could still act on an older one is out of contact. spread_limit had to be no shorter than contact_limit, and nothing checked it.

--- a/libraries/freshness/freshness_settings.h
+++ b/libraries/freshness/freshness_settings.h
@@ -15,12 +15,10 @@
   /// An entry whose last successful read started longer ago than this asks other entries. A slow
   /// table is thereby the same as one that refuses.
   duration reads_fail_after = std::chrono::milliseconds(1200);
-  /// A target's daemon that no entry has answered for this long starts nothing.
+  /// A target's daemon that no entry has answered for this long starts nothing, so a version that
+  /// an entry has known for this long is in force. Long enough for a read by another entry and a
+  /// heartbeat, with one lost message each: who is in touch knows the version by then.
   duration contact_limit = std::chrono::seconds(3);
-  /// Time from when an entry knows a version to when all entries and daemons in touch know it: the
-  /// sum of a read of another entry and a heartbeat, with one lost message each. No shorter than
-  /// contact_limit.
-  duration spread_limit = std::chrono::seconds(3);
 };
 
 }  // namespace wagtail
--- a/libraries/freshness/newest_configuration.cc
+++ b/libraries/freshness/newest_configuration.cc
@@ -45,7 +45,7 @@
 }
 
 bool newest_configuration::IsInTouch(const confirmation& last, instant now) const {
-  return last.heard != instant{} && now - last.heard <= settings_.spread_limit;
+  return last.heard != instant{} && now - last.heard <= settings_.contact_limit;
 }
 
 bool newest_configuration::IsInForce(instant now) const {
@@ -53,7 +53,7 @@
     return IsInTouch(item.second, now) && item.second.version < version();
   });
   // Targets that only other entries hear confirm to those.
-  return version() > 0 && all_confirmed && now - taken_ >= settings_.spread_limit;
+  return version() > 0 && all_confirmed && now - taken_ >= settings_.contact_limit;
 }
 
 std::vector<missing_party> newest_configuration::Missing(instant now) const {
--- a/tests/freshness/newest_configuration_test.cc
+++ b/tests/freshness/newest_configuration_test.cc
@@ -56,7 +56,7 @@
 TEST(NewestConfiguration, IsInForceOnceEveryoneInTouchHasHadTheTime) {
   newest_.OnTargets(std::array{kTarget});
   newest_.OnTableRead(kNow, RowAt(7), kNow);
-  instant spread = kNow + kSettings.spread_limit;
+  instant spread = kNow + kSettings.contact_limit;
   newest_.OnTargetConfirmed(kTarget, 6, spread);
   CHECK_FALSE(newest_.IsInForce(spread));
   CHECK(newest_.Missing(spread) == MissingTarget(missing_reason::kMayStillStart));
@@ -70,7 +70,7 @@
   newest_.OnTargets(std::array{kTarget});
   newest_.OnTargetConfirmed(kTarget, 6, kNow);
   newest_.OnTableRead(kNow, RowAt(7), kNow);
-  instant later = kNow + kSettings.spread_limit + duration(1);
+  instant later = kNow + kSettings.contact_limit + duration(1);
   CHECK(newest_.IsInForce(later));
   CHECK(newest_.Missing(later) == MissingTarget(missing_reason::kStartsNothing));
   newest_.OnTargets({});
--- a/tests/freshness/spread_model_test.cc
+++ b/tests/freshness/spread_model_test.cc
@@ -166,7 +166,7 @@
         in_touch = in_touch || (daemon_cut_[daemon][entry] <= now_ && EntryInTouch(entry));
       }
       in_touch_since_[daemon] = in_touch ? in_touch_since_[daemon] : now_;
-      instant due = std::max(in_touch_since_[daemon], committed_at_) + settings_.spread_limit;
+      instant due = std::max(in_touch_since_[daemon], committed_at_) + settings_.contact_limit;
       if (now_ > due && held_[daemon] != committed_) {
         violation_ = "a daemon in touch does not know the newest version";
       }
@@ -181,7 +181,7 @@
     }
     ++claims_;
     for (size_t daemon = 0; daemon < kDaemons; ++daemon) {
-      bool long_in_touch = now_ - in_touch_since_[daemon] > settings_.spread_limit;
+      bool long_in_touch = now_ - in_touch_since_[daemon] > settings_.contact_limit;
       if (long_in_touch && held_[daemon] < entry.version()) {
         violation_ = "called in force, and a daemon in touch acts on an older version";
       }
