Fault soak: taking a domain out and back is done in one place

Cause: HealAll called ChangePlan for its side effect, which could write a configuration in place of taking the domain back, and then erased a row by an empty name; the fronts' addresses were listed twice.

--- a/tests/fault_soak/soak_world.cc
+++ b/tests/fault_soak/soak_world.cc
@@ -360,9 +360,22 @@
     WriteConfiguration();
     return;
   }
-  std::string domain = leaving_domain_.empty() ? Domain(random_()) : leaving_domain_;
-  store_->Put("op", "evacuate/" + domain, leaving_domain_.empty() ? "{}" : "");
-  leaving_domain_ = leaving_domain_.empty() ? domain : "";
+  if (leaving_domain_.empty()) {
+    TakeOutDomain(Domain(random_()));
+  } else {
+    TakeBackDomain();
+  }
+}
+
+void soak_world::TakeOutDomain(const std::string& domain) {
+  leaving_domain_ = domain;
+  store_->Put("op", "evacuate/" + domain, "{}");
+}
+
+void soak_world::TakeBackDomain() {
+  if (!leaving_domain_.empty()) {
+    store_->Put("op", "evacuate/" + std::exchange(leaving_domain_, ""), "");
+  }
 }
 
 void soak_world::PowerLoss() {
@@ -377,10 +390,7 @@
     RunDue();
     std::this_thread::sleep_for(kStep);
   }
-  if (!leaving_domain_.empty()) {
-    ChangePlan();
-    store_->Put("op", "evacuate/" + std::exchange(leaving_domain_, ""), "");
-  }
+  TakeBackDomain();
   Eventually([this] {
     KeepMachines();
     return std::ranges::all_of(entries_, [](const auto& each) { return !each->stopping; }) &&
@@ -388,13 +398,17 @@
   });
 }
 
-void soak_world::CheckRecovery() {
+std::vector<loopback_address> soak_world::Fronts() const {
   std::vector<loopback_address> fronts;
   for (const auto& entry : entries_) {
     fronts.push_back({.ip = entry->ip, .port = kFrontPort});
   }
+  return fronts;
+}
+
+void soak_world::CheckRecovery() {
   constexpr unsigned kInARow = 4;
-  for (const loopback_address& front : fronts) {
+  for (const loopback_address& front : Fronts()) {
     unsigned in_a_row = 0;
     soak_caller caller(random_(), {front}, watch_);
     bool served = Eventually([&] {
@@ -409,14 +423,14 @@
 
 void soak_world::CheckEvacuation() {
   std::string domain = Domain(0);
-  store_->Put("op", "evacuate/" + domain, "{}");
+  TakeOutDomain(domain);
   std::this_thread::sleep_for(kEvacuate);
   unsigned before = watch_.BegunAt(domain + "/");
   CheckRecovery();
   if (watch_.BegunAt(domain + "/") != before) {
     watch_.Broken("starts in a domain that was taken out");
   }
-  store_->Put("op", "evacuate/" + domain, "");
+  TakeBackDomain();
 }
 
 void soak_world::CheckPlannedStop() {
@@ -467,12 +481,8 @@
 
 std::vector<std::string> soak_world::Run() {
   CheckRecovery();
-  std::vector<loopback_address> fronts;
-  for (const auto& entry : entries_) {
-    fronts.push_back({.ip = entry->ip, .port = kFrontPort});
-  }
   for (size_t number = 0; number < options_.callers; ++number) {
-    callers_.push_back(std::make_unique<soak_caller>(random_(), fronts, watch_));
+    callers_.push_back(std::make_unique<soak_caller>(random_(), Fronts(), watch_));
     callers_.back()->RunOnThread();
   }
   instant end = MonotonicNow() + options_.length;
--- a/tests/fault_soak/soak_world.h
+++ b/tests/fault_soak/soak_world.h
@@ -76,8 +76,12 @@
   void DisturbStore();
   void MisleadTarget(machine& agent);
   void ChangePlan();
+  void TakeOutDomain(const std::string& domain);
+  void TakeBackDomain();
   void PowerLoss();
 
+  /// @return where callers reach the entries
+  std::vector<loopback_address> Fronts() const;
   void HealAll();
   void CheckRecovery();
   void CheckEvacuation();
