--- a/services/dispatchd/caller_wait.h
+++ b/services/dispatchd/caller_wait.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -22,6 +23,9 @@
   caller_wait(const caller_wait&) = delete;
   caller_wait& operator=(const caller_wait&) = delete;
 
+  /// The job has reached the board.
+  /// @param queued since the request arrived
+  void Admitted(duration queued) { queued_ = queued; }
   void Answer(job_answer answer);
 
   /// @param socket of the caller's connection, or -1
@@ -29,10 +33,14 @@
   /// @return the answer, or nothing if the caller is gone or the limit has passed
   std::optional<job_answer> Wait(int socket, duration limit);
 
+  /// @return how long the request waited for its admission; zero if it was not admitted
+  duration queued() const { return queued_; }
+
  private:
   std::optional<job_answer> Take();
 
   int wake_ = -1;
+  std::atomic<duration> queued_ = duration::zero();
   std::mutex mutex_;
   std::optional<job_answer> answer_;
 };
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -123,7 +123,10 @@
 void dispatch_service::MakeBoard() {
   board_ = std::make_unique<job_board>(
       job_board_options{.targets = {.domain = settings_.domain}},
-      [this](order_batch batch) { sessions_->Order(std::move(batch)); },
+      [this](order_batch batch) {
+        load_watch_.Ordered();
+        sessions_->Order(std::move(batch));
+      },
       [this](session_id session, uint64_t order) { sessions_->Withdraw(session, order); },
       [this](job_serial serial, const job_answer& answer) {
         auto found = waiting_.find(serial);
@@ -146,6 +149,7 @@
     board_->Opened(session, agent, BootTimeNow());
   };
   hooks.reported = [this](session_id session, const session_report& report) {
+    load_watch_.Reported();
     board_->Reported(session, report, BootTimeNow());
   };
   hooks.result = [this](const run_result& result) { board_->Result(result); };
@@ -214,6 +218,10 @@
 
 void dispatch_service::Tick() {
   instant now = BootTimeNow();
+  if (next_tick_ != instant{}) {
+    load_watch_.Ticked(now - next_tick_);
+  }
+  load_watch_.Tell(now);
   for (session_id session : board_->TakeSilent(now)) {
     sessions_->Close(session);
   }
@@ -221,6 +229,7 @@
   board_->Place(now);
   sessions_->Flush();
   targets_in_use_ = board_->targets_in_use(now);
+  next_tick_ = BootTimeNow() + kTick;
   loop_.After(kTick, [this] { Tick(); });
 }
 
@@ -267,7 +276,7 @@
           {{"job", request.job},
            {"queue", request.queue.name},
            {"deadline_ms", ToMilliseconds(deadline)}});
-  loop_.Post([this, serial, wait, socket = request.http->socket,
+  loop_.Post([this, serial, wait, arrived, socket = request.http->socket,
               submission = std::move(request.submission)]() mutable {
     // After a freeze of this process a request may be older than its caller's patience. Its caller
     // sends the job again, perhaps to another entry: it must not be started here as well.
@@ -275,6 +284,9 @@
       wait->Answer({.outcome = job_outcome::kCancelled, .reason = "caller_gone_before"});
       return;
     }
+    duration queued = BootTimeNow() - arrived;
+    load_watch_.Admitted(queued);
+    wait->Admitted(queued);
     waiting_[serial] = wait;
     board_->Submit(serial, std::move(submission), BootTimeNow());
     Changed();
@@ -288,12 +300,12 @@
     });
     answer = {.outcome = job_outcome::kAbandoned, .reason = "caller_gone"};
   }
-  CountAnswer(request, *answer, arrived);
+  CountAnswer(request, *answer, arrived, wait->queued());
   return platform::WriteAnswer(*answer);
 }
 
 void dispatch_service::CountAnswer(const front_request& request, const job_answer& answer,
-                                   instant arrived) {
+                                   instant arrived, duration queued) {
   duration took = BootTimeNow() - arrived;
   LogFact(log_level::kInfo, "job_answered",
           {{"job", request.job},
@@ -301,6 +313,7 @@
            {"outcome", NameOf(answer.outcome)},
            {"reason", answer.reason},
            {"retry_after_ms", ToMilliseconds(answer.retry_after)},
+           {"queued_ms", ToMilliseconds(queued)},
            {"took_ms", ToMilliseconds(took)}});
   answers_
       ->Add({{"queue", request.queue.name},
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -19,6 +19,7 @@
 #include "services/dispatchd/caller_wait.h"
 #include "services/dispatchd/first_plan_gate.h"
 #include "services/dispatchd/front_filters.h"
+#include "services/dispatchd/load_watch.h"
 #include "session/agent_sessions.h"
 #include "snapshot/snapshot_cell.h"
 #include "table/table_follower.h"
@@ -54,7 +55,8 @@
   http_response Cancel(const front_request& request);
   http_response State(const front_request& request);
   http_response AnswerReady() const;
-  void CountAnswer(const front_request& request, const job_answer& answer, instant arrived);
+  void CountAnswer(const front_request& request, const job_answer& answer, instant arrived,
+                   duration queued);
 
   platform::node_settings settings_;
   metrics_registry metrics_;
@@ -71,6 +73,8 @@
   std::vector<front_filter> filters_;
   event_loop loop_;
   // What follows is used on the loop's thread only.
+  load_watch load_watch_{metrics_, BootTimeNow()};
+  instant next_tick_{};  ///< when the timer was due
   newest_plan plan_;
   std::unique_ptr<job_board> board_;
   std::unique_ptr<agent_sessions> sessions_;
