--- a/services/dispatchd/load_watch.cc
+++ b/services/dispatchd/load_watch.cc
@@ -28,11 +28,11 @@
 }  // namespace
 
 load_watch::load_watch(metrics_registry& registry, instant now)
-    : admission_seconds_(
-          &registry
-               .Histograms("wagtail_entry_admission_delay_seconds",
-                           "Time from a request's arrival to its admission.", kDelaySecondsBounds)
-               .Add({})),
+    : admission_seconds_(&registry
+                              .Histograms("wagtail_entry_admission_delay_seconds",
+                                          "Time from a request's arrival to its admission.",
+                                          kDelaySecondsBounds)
+                              .Add({})),
       loop_delay_seconds_(&registry
                                .Histograms("wagtail_entry_loop_delay_seconds",
                                            "Lateness of the event loop's timer.",
--- a/tests/load/load_test.cc
+++ b/tests/load/load_test.cc
@@ -18,6 +18,8 @@
 /// The worst-served kind of job on a busy day without faults.
 constexpr double kWorstKindInTime = 0.93;
 
+/// What an entry out of processor time serves in time, of what its processor carries.
+constexpr double kLeastServedInOverload = 0.9;
 /// Share of the jobs that several queues in place of one may make late.
 constexpr double kMostLostToSharing = 0.1;
 
@@ -46,6 +48,7 @@
     }
     sum.work_done += found.work_done;
     sum.work_wasted += found.work_wasted;
+    sum.processor_used += found.processor_used;
   }
   for (const auto& [name, result] : sum.kinds) {
     std::printf("%s: %u jobs, %u in time, %u late, %u refused, %u lost\n", name.c_str(),
@@ -56,6 +59,37 @@
 
 double Share(unsigned part, unsigned whole) { return static_cast<double>(part) / whole; }
 
+/// What one entry is given that has little of a core, and more and faster targets than it can use.
+load_world::settings SmallEntry(double jobs_per_second) {
+  constexpr unsigned kNoneButTheFirst = 1000;
+  load_world::settings settings{.entries = 1,
+                                .targets = 24,
+                                .slow_every = kNoneButTheFirst,
+                                .estimate_error = 0.1,
+                                .length = std::chrono::seconds(8)};
+  settings.first_entry_share = 0.1;
+  settings.kinds = {
+      {.name = "wide", .tasks = 8, .task_time = Ms(60), .cpu = 6200, .per_second = 0.25},
+      {.name = "pair", .tasks = 2, .task_time = Ms(200), .cpu = 6200, .per_second = 0.75}};
+  for (load_kind& kind : settings.kinds) {
+    kind.per_second *= jobs_per_second;
+  }
+  return settings;
+}
+
+/// @return jobs a second that the small entry's processor carries, beside what it spends idle
+double CarriedBySmallEntry() {
+  constexpr double kFew = 10;
+  constexpr double kMore = 40;
+  load_world::settings few = SmallEntry(kFew);
+  double length = ToSeconds(few.length);
+  double idle = ToSeconds(Play(few).processor_used) / static_cast<double>(kSeeds) / length;
+  double busy =
+      ToSeconds(Play(SmallEntry(kMore)).processor_used) / static_cast<double>(kSeeds) / length;
+  double share_of_a_job = (busy - idle) / (kMore - kFew);
+  return kFew + (1 - idle) / share_of_a_job;
+}
+
 void CheckNothingIsLost(const load_world::findings& found) {
   load_result sum = found.Sum();
   CHECK(Share(sum.lost, sum.handed_in) <= kMostLost);
@@ -138,4 +172,20 @@
   CheckNothingIsLost(Play(settings));
 }
 
+// Incident SHORT: what is refused costs processor time too, and the rest goes into jobs in time.
+TEST(Load, AnEntryOutOfProcessorTimeServesInTimeWhatItCarries) {
+  double carried = CarriedBySmallEntry();
+  for (double times : {1.0, 1.5, 2.0, 3.0}) {
+    load_world::settings settings = SmallEntry(times * carried);
+    double request = ToSeconds(settings.costs.request) / *settings.first_entry_share;
+    double whole = 1 / carried;
+    double in_time = Play(settings).Sum().in_time / ToSeconds(settings.length) / kSeeds;
+    // Of `times * carried` requests a second so many can be taken beside refusing the others.
+    double possible = std::min(carried, (1 - times * carried * request) / (whole - request));
+    std::printf("%.1f times the %.1f jobs a second carried: %.1f in time, %.1f possible\n", times,
+                carried, in_time, possible);
+    CHECK(in_time >= kLeastServedInOverload * possible);
+  }
+}
+
 }  // namespace wagtail::leased
--- a/tests/load/load_world.cc
+++ b/tests/load/load_world.cc
@@ -58,6 +58,8 @@
   std::vector<std::pair<session_id, uint64_t>> withdrawn;
   job_serial next_serial = 1;
   std::map<job_serial, caller*> callers;
+  std::optional<double> share;  ///< of a core; nothing if processor time is not counted
+  instant idle_from{};          ///< when its processor has done all that it has to
 };
 
 struct load_world::agent_node {
@@ -84,6 +86,7 @@
   instant handed_in;
   duration task_time{0};
   double work_done = 0;  ///< core-seconds
+  bool answered = false;
 };
 
 load_world::load_world(settings settings)
@@ -94,6 +97,7 @@
   findings_.seconds.resize(static_cast<size_t>(ToSeconds(settings_.length)) + 1);
   for (unsigned number = 0; number < settings_.entries; ++number) {
     entries_.push_back(std::make_unique<entry_node>());
+    entries_.back()->share = number == 0 ? settings_.first_entry_share : std::nullopt;
     StartEntry(*entries_.back());
   }
   for (unsigned number = 0; number < settings_.targets; ++number) {
@@ -112,6 +116,11 @@
     ScheduleNext(kind);
   }
   time_.RunUntil(begin_ + settings_.length + 2 * kPatience);
+  for (const auto& [id, who] : callers_) {
+    if (!who->answered) {
+      Count(*who, {.handed_in = 1, .lost = 1});
+    }
+  }
   return findings_;
 }
 
@@ -127,23 +136,47 @@
         auto found = entry.callers.find(serial);
         caller* who = found->second;
         entry.callers.erase(found);
-        Answered(*who, answer);
+        instant told = Spend(entry, settings_.costs.answer);
+        time_.At(told, [this, who, answer] { Answered(*who, answer); });
       },
       [](const board_note& /*note*/) {});
   TickEntry(entry);
 }
 
 void load_world::TickEntry(entry_node& entry) {
-  entry.board->Tick(time_.now());
-  Place(entry);
-  time_.After(kEntryTick, [this, &entry] { TickEntry(entry); });
+  OnProcessor(entry, duration::zero(), [this, &entry] {
+    entry.board->Tick(time_.now());
+    Place(entry);
+    time_.After(kEntryTick, [this, &entry] { TickEntry(entry); });
+  });
+}
+
+instant load_world::Spend(entry_node& entry, duration cost) {
+  if (!entry.share.has_value()) {
+    return time_.now();
+  }
+  duration spent = Scaled(cost, 1 / *entry.share);
+  entry.idle_from = std::max(entry.idle_from, time_.now()) + spent;
+  bool counts = time_.now() >= begin_ && Elapsed() < settings_.length;
+  findings_.processor_used += counts ? spent : duration::zero();
+  return entry.idle_from;
+}
+
+void load_world::OnProcessor(entry_node& entry, duration cost, std::function<void()> work) {
+  instant done = Spend(entry, cost);
+  if (done <= time_.now()) {
+    work();
+  } else {
+    time_.After(done - time_.now(), std::move(work));
+  }
 }
 
 void load_world::Place(entry_node& entry) {
   entry.board->Place(time_.now());
   for (order_batch& batch : std::exchange(entry.orders, {})) {
     session& to = *sessions_.at(batch.session);
-    time_.After(kWay, [this, &to, batch = std::move(batch)] { Deliver(to, batch); });
+    duration sending = Spend(entry, settings_.costs.order) - time_.now();
+    time_.After(sending + kWay, [this, &to, batch = std::move(batch)] { Deliver(to, batch); });
   }
   for (auto [id, order] : std::exchange(entry.withdrawn, {})) {
     session& to = *sessions_.at(id);
@@ -250,12 +283,14 @@
                         .orders_seen = from.orders_seen,
                         .settled = from.agent->keeper->Settled()};
   time_.After(kWay, [this, &from, report, results = std::exchange(from.results, {}), sent] {
-    from.entry->board->Reported(from.id, report, time_.now());
-    for (const run_result& result : results) {
-      from.entry->board->Result(result);
-    }
-    Place(*from.entry);
-    time_.After(kWay, [&from, sent] { from.agent->keeper->Vouched(from.id, sent); });
+    OnProcessor(*from.entry, settings_.costs.report, [this, &from, report, results, sent] {
+      from.entry->board->Reported(from.id, report, time_.now());
+      for (const run_result& result : results) {
+        from.entry->board->Result(result);
+      }
+      Place(*from.entry);
+      time_.After(kWay, [&from, sent] { from.agent->keeper->Vouched(from.id, sent); });
+    });
   });
 }
 
@@ -338,8 +373,23 @@
   job_serial serial = entry.next_serial++;
   entry.callers[serial] = who.get();
   callers_[id] = std::move(who);
-  entry.board->Submit(serial, std::move(submission), time_.now());
-  Place(entry);
+  OnProcessor(entry, settings_.costs.request,
+              [this, &entry, serial, submission = std::move(submission)]() mutable {
+                Admit(entry, serial, std::move(submission));
+              });
+}
+
+void load_world::Admit(entry_node& entry, job_serial serial, job_submission submission) {
+  OnProcessor(entry, settings_.costs.job,
+              [this, &entry, serial, submission = std::move(submission)]() mutable {
+                entry.board->Submit(serial, std::move(submission), time_.now());
+                Place(entry);
+              });
+}
+
+void load_world::Count(const caller& who, const load_result& got) {
+  findings_.kinds[who.kind->name] += got;
+  findings_.seconds[static_cast<size_t>(ToSeconds(who.handed_in - begin_))] += got;
 }
 
 void load_world::Answered(caller& who, const job_answer& answer) {
@@ -356,8 +406,8 @@
   } else {
     got.lost = 1;
   }
-  findings_.kinds[who.kind->name] += got;
-  findings_.seconds[static_cast<size_t>(ToSeconds(who.handed_in - begin_))] += got;
+  who.answered = true;
+  Count(who, got);
   findings_.work_done += who.work_done;
   findings_.work_wasted += whole ? 0 : who.work_done;
 }
--- a/tests/load/load_world.h
+++ b/tests/load/load_world.h
@@ -25,6 +25,15 @@
   double per_second = 1;  ///< by all callers together
 };
 
+/// Processor time that an entry spends on each kind of work, on a whole core.
+struct entry_costs {
+  duration request = std::chrono::microseconds(60);  ///< reading it and answering it
+  duration job = std::chrono::microseconds(150);     ///< on top of it, if it is taken
+  duration report = std::chrono::microseconds(100);  ///< of an agent, with its answer
+  duration order = std::chrono::microseconds(100);   ///< one message to an agent
+  duration answer = std::chrono::microseconds(40);   ///< to a caller whose job was taken
+};
+
 /// Part of the play during which something is different.
 struct load_span {
   duration from{0};  ///< from the beginning of the play
@@ -53,8 +62,12 @@
     uint64_t seed = 1;
     unsigned entries = 3;
     unsigned targets = 11;
-    unsigned links = 4;       ///< entries that one agent keeps sessions with
-    double first_entry = 1;   ///< callers of the first entry over those of any other
+    unsigned links = 4;      ///< entries that one agent keeps sessions with
+    double first_entry = 1;  ///< callers of the first entry over those of any other
+    /// Share of a core that the first entry has, or nothing if processor time is not counted. The
+    /// other entries have as much as they need.
+    std::optional<double> first_entry_share{};
+    entry_costs costs{};
     unsigned slow_every = 4;  ///< each n-th target takes twice as long
     int64_t target_cpu = 64'000;
     double estimate_error = 0.4;  ///< a job's true work is off its estimate by up to this share
@@ -77,6 +90,7 @@
     std::vector<load_result> seconds{};  ///< by the second in which the job was handed in
     double work_done = 0;                ///< core-seconds of tasks that ended done
     double work_wasted = 0;              ///< of these, of jobs that were not answered whole
+    duration processor_used{0};          ///< by the first entry, of its share
     load_result Sum() const;
   };
 
@@ -95,6 +109,10 @@
   void StartAgent(agent_node& agent, unsigned number);
   void Connect(agent_node& agent, entry_node& entry);
   void TickEntry(entry_node& entry);
+  /// Runs work of an entry once its processor has done all that came before, and the work itself.
+  void OnProcessor(entry_node& entry, duration cost, std::function<void()> work);
+  /// @return when the entry's processor has also done work that costs so much
+  instant Spend(entry_node& entry, duration cost);
   void TickAgent(agent_node& agent);
   void AnnounceTarget(agent_node& agent);
   void Place(entry_node& entry);
@@ -104,7 +122,9 @@
   void Carry(agent_node& agent, const target_call& call);
   entry_node& AnyEntry();
   void HandIn(const load_kind& kind);
+  void Admit(entry_node& entry, job_serial serial, job_submission submission);
   void ScheduleNext(const load_kind& kind);
+  void Count(const caller& who, const load_result& got);
   void Answered(caller& who, const job_answer& answer);
   duration RunTime(const agent_node& agent, const task_ref& task);
   duration Elapsed() const;
