An entry that is behind refuses new jobs before it reads them

What callers saw: at entries out of processor time everything was late, for as long as the load lasted. Cause: nothing knew the entry's own backlog. Every job was taken, and its objective was counted from its admission, so that its wait for the loop was free.

loop_backlog estimates the wait from the loop's timer and from what was handed to it; over 15 ms new jobs are answered 503 with a time to come back, before they are parsed, and the connection is closed. A job's objective counts from its arrival, and one whose objective went by meanwhile is not begun (too_old). Admissions go after the messages that are there already.

--- a/libraries/board/board_events.h
+++ b/libraries/board/board_events.h
@@ -32,6 +32,7 @@
   queue_plan queue{};
   std::vector<job_step> steps{};
   duration deadline{0};  ///< from the arrival: how long the caller waits
+  duration queued{0};    ///< since the arrival, before the board got it
 };
 
 enum class job_outcome {
--- a/libraries/board/job_board.cc
+++ b/libraries/board/job_board.cc
@@ -25,16 +25,16 @@
     return;
   }
   job added;
-  added.arrived = now;
-  added.deadline = now + submission.deadline - options_.answer_margin;
+  added.arrived = now - submission.queued;
+  added.deadline = added.arrived + submission.deadline - options_.answer_margin;
   added.submission = std::move(submission);
   for (const job_step& spec : added.submission.steps) {
     added.steps.push_back({.spec = spec, .tasks = std::vector<task>(spec.count)});
   }
   added.longest = Longest(added);
   const queue_plan& queue = added.submission.queue;
-  added.objective = now + Scaled(added.longest, queue.stretch) + queue.allowance;
-  added.late_from_start = LatestStart(added, now) < now;
+  added.objective = added.arrived + Scaled(added.longest, queue.stretch) + queue.allowance;
+  added.late_from_start = LatestStart(added, now) < added.arrived;
   std::optional<job_answer> refusal = Refusal(added, now);
   if (refusal.has_value()) {
     answer_(serial, *refusal);
--- a/libraries/board/job_times.cc
+++ b/libraries/board/job_times.cc
@@ -40,6 +40,10 @@
       return refuse("no_target", options_.shortest_retry);
     }
   }
+  // It could have been in time, but has waited here for too long already.
+  if (!candidate.late_from_start && LatestStart(candidate, now) < now) {
+    return refuse("too_old", options_.shortest_retry);
+  }
   if (HasRoomNow(candidate, now)) {
     return std::nullopt;
   }
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -211,6 +211,7 @@
   }
   loop_.After(duration::zero(), [this] {
     turn_posted_ = false;
+    AdmitArrivals();
     board_->Place(BootTimeNow());
     sessions_->Flush();
   });
@@ -220,8 +221,9 @@
   instant now = BootTimeNow();
   if (next_tick_ != instant{}) {
     load_watch_.Ticked(now - next_tick_);
+    backlog_.Taken(now - next_tick_, now);
   }
-  load_watch_.Tell(now);
+  load_watch_.Tell(now, refused_busy_);
   for (session_id session : board_->TakeSilent(now)) {
     sessions_->Close(session);
   }
@@ -230,12 +232,18 @@
   sessions_->Flush();
   targets_in_use_ = board_->targets_in_use(now);
   next_tick_ = BootTimeNow() + kTick;
+  backlog_.TimerSet(next_tick_);
   loop_.After(kTick, [this] { Tick(); });
 }
 
 front_hooks dispatch_service::FrontHooks() {
   front_hooks hooks;
   hooks.stopping = [this] { return refusing_.load(); };
+  hooks.busy = [this] {
+    bool busy = backlog_.IsOver(BootTimeNow());
+    refused_busy_ += busy ? 1 : 0;
+    return busy;
+  };
   hooks.await_plan = [this](duration deadline) { return AwaitPlan(deadline); };
   hooks.queue = [this](const std::string& host, const std::string& path, size_t& max_body_bytes) {
     return shared_plan_.Read([&](const operating_plan& plan) {
@@ -276,19 +284,14 @@
           {{"job", request.job},
            {"queue", request.queue.name},
            {"deadline_ms", ToMilliseconds(deadline)}});
-  loop_.Post([this, serial, wait, arrived, socket = request.http->socket,
-              submission = std::move(request.submission)]() mutable {
-    // After a freeze of this process a request may be older than its caller's patience. Its caller
-    // sends the job again, perhaps to another entry: it must not be started here as well.
-    if (IsCallerGone(socket)) {
-      wait->Answer({.outcome = job_outcome::kCancelled, .reason = "caller_gone_before"});
-      return;
-    }
-    duration queued = BootTimeNow() - arrived;
-    load_watch_.Admitted(queued);
-    wait->Admitted(queued);
-    waiting_[serial] = wait;
-    board_->Submit(serial, std::move(submission), BootTimeNow());
+  backlog_.Posted(arrived);
+  loop_.Post([this, arrival = arrival{.serial = serial,
+                                      .arrived = arrived,
+                                      .socket = request.http->socket,
+                                      .submission = std::move(request.submission),
+                                      .wait = wait}]() mutable {
+    // Taken in turn, after the messages of agents that are there already.
+    arrivals_.push_back(std::move(arrival));
     Changed();
   });
   std::optional<job_answer> answer = wait->Wait(request.http->socket, deadline + kAnswerGrace);
@@ -304,6 +307,25 @@
   return platform::WriteAnswer(*answer);
 }
 
+void dispatch_service::AdmitArrivals() {
+  for (arrival& each : std::exchange(arrivals_, {})) {
+    // After a freeze of this process a request may be older than its caller's patience. Its caller
+    // sends the job again, perhaps to another entry: it must not be started here as well.
+    if (IsCallerGone(each.socket)) {
+      each.wait->Answer({.outcome = job_outcome::kCancelled, .reason = "caller_gone_before"});
+      continue;
+    }
+    instant now = BootTimeNow();
+    duration queued = now - each.arrived;
+    backlog_.Taken(queued, now);
+    load_watch_.Admitted(queued);
+    each.wait->Admitted(queued);
+    waiting_[each.serial] = std::move(each.wait);
+    each.submission.queued = queued;
+    board_->Submit(each.serial, std::move(each.submission), now);
+  }
+}
+
 void dispatch_service::CountAnswer(const front_request& request, const job_answer& answer,
                                    instant arrived, duration queued) {
   duration took = BootTimeNow() - arrived;
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -9,6 +9,7 @@
 
 #include "absl/status/status.h"
 #include "board/job_board.h"
+#include "board/loop_backlog.h"
 #include "http/http_server.h"
 #include "metrics/metrics_registry.h"
 #include "plan/newest_plan.h"
@@ -38,6 +39,15 @@
   void Stop(duration limit);
 
  private:
+  /// A request on its way to the board.
+  struct arrival {
+    job_serial serial = 0;
+    instant arrived{};
+    int socket = -1;  ///< of the caller's connection
+    job_submission submission{};
+    std::shared_ptr<caller_wait> wait{};
+  };
+
   absl::Status ListenForAgents();
   void MakeBoard();
   void MakeSessions();
@@ -52,6 +62,7 @@
   bool HasPlan() const;
   std::optional<duration> AwaitPlan(duration deadline);
   http_response Submit(front_request& request);
+  void AdmitArrivals();
   http_response Cancel(const front_request& request);
   http_response State(const front_request& request);
   http_response AnswerReady() const;
@@ -70,6 +81,8 @@
   std::atomic<bool> closing_ = false;   ///< connections are closed after their next answer
   std::atomic<size_t> targets_in_use_ = 0;
   std::atomic<job_serial> next_serial_ = 1;
+  std::atomic<uint64_t> refused_busy_ = 0;  ///< requests refused for the loop's backlog
+  loop_backlog backlog_{{}};
   std::vector<front_filter> filters_;
   event_loop loop_;
   // What follows is used on the loop's thread only.
@@ -81,6 +94,7 @@
   std::unique_ptr<rpc_server> agent_server_;
   std::unique_ptr<platform::store_client> store_;
   std::unique_ptr<table_follower> plan_follower_;
+  std::vector<arrival> arrivals_;
   std::unordered_map<job_serial, std::shared_ptr<caller_wait>> waiting_;
   std::map<std::string, instant> entries_;  ///< when an agent last named each
   bool turn_posted_ = false;
--- a/services/dispatchd/front_filters.cc
+++ b/services/dispatchd/front_filters.cc
@@ -81,6 +81,13 @@
     if (hooks.stopping()) {
       return platform::WriteRefusal(kUnavailable, "stopping", kRetry);
     }
+    // Asked before anything is read of the job, so that a refusal costs little of what is short.
+    if (request.http->method == "POST" && hooks.busy()) {
+      http_response refusal = platform::WriteRefusal(kUnavailable, "entry_busy", kRetry);
+      // The caller's next connection may lead to an entry that has time.
+      refusal.headers["connection"] = "close";
+      return refusal;
+    }
     duration deadline = platform::ReadDeadline(*request.http).value_or(kDefaultDeadline);
     std::optional<duration> waited = hooks.await_plan(deadline);
     if (!waited.has_value()) {
--- a/services/dispatchd/front_filters.h
+++ b/services/dispatchd/front_filters.h
@@ -27,6 +27,8 @@
 /// What the filters ask of the entry.
 struct front_hooks {
   std::function<bool()> stopping;
+  /// The entry is behind with the work that it has; asked once for each new job.
+  std::function<bool()> busy;
   /// Finds the queue of a request and the limit of bodies; nothing if there is no such queue.
   std::function<std::optional<queue_plan>(const std::string& host, const std::string& path,
                                           size_t& max_body_bytes)>
--- a/services/dispatchd/load_watch.cc
+++ b/services/dispatchd/load_watch.cc
@@ -73,7 +73,7 @@
   ++span_.orders;
 }
 
-void load_watch::Tell(instant now) {
+void load_watch::Tell(instant now, uint64_t refused_busy) {
   duration passed = now - told_;
   if (passed < kTellEvery) {
     return;
@@ -90,9 +90,11 @@
            {"admission_delay_ms", ToMilliseconds(told.longest_admission)},
            {"jobs", told.jobs},
            {"reports", told.reports},
-           {"order_messages", told.orders}});
+           {"order_messages", told.orders},
+           {"refused_busy", refused_busy - refused_busy_}});
   told_ = now;
   used_ = used;
+  refused_busy_ = refused_busy;
 }
 
 }  // namespace wagtail::leased
--- a/services/dispatchd/load_watch.h
+++ b/services/dispatchd/load_watch.h
@@ -27,7 +27,8 @@
   /// Orders or stops of one turn went to one agent.
   void Ordered();
   /// Writes the fact `processor_use` once a second.
-  void Tell(instant now);
+  /// @param refused_busy requests refused so far since the entry was behind
+  void Tell(instant now, uint64_t refused_busy);
 
  private:
   /// Since the last fact.
@@ -54,6 +55,7 @@
   instant told_;
   processor_time used_;
   span span_;
+  uint64_t refused_busy_ = 0;  ///< when last told
 };
 
 }  // namespace wagtail::leased
--- a/tests/dispatchd/first_plan_test.cc
+++ b/tests/dispatchd/first_plan_test.cc
@@ -19,12 +19,14 @@
   static constexpr first_plan_options kOptions{};
   instant started{};
   std::vector<job_submission> submitted;
+  bool busy = false;
   std::optional<duration> plan_after = Ms(0);  ///< how long the first plan takes; nothing: too long
   std::optional<duration> deadline_seen;
 
   front_hooks Hooks() {
     front_hooks hooks;
     hooks.stopping = [] { return false; };
+    hooks.busy = [this] { return busy; };
     hooks.await_plan = [this](duration deadline) {
       deadline_seen = deadline;
       return plan_after;
--- a/tests/load/load_test.cc
+++ b/tests/load/load_test.cc
@@ -175,6 +175,7 @@
 // Incident SHORT: what is refused costs processor time too, and the rest goes into jobs in time.
 TEST(Load, AnEntryOutOfProcessorTimeServesInTimeWhatItCarries) {
   double carried = CarriedBySmallEntry();
+  double worst = 1;
   for (double times : {1.0, 1.5, 2.0, 3.0}) {
     load_world::settings settings = SmallEntry(times * carried);
     double request = ToSeconds(settings.costs.request) / *settings.first_entry_share;
@@ -184,8 +185,9 @@
     double possible = std::min(carried, (1 - times * carried * request) / (whole - request));
     std::printf("%.1f times the %.1f jobs a second carried: %.1f in time, %.1f possible\n", times,
                 carried, in_time, possible);
-    CHECK(in_time >= kLeastServedInOverload * possible);
+    worst = std::min(worst, in_time / possible);
   }
+  CHECK(worst >= kLeastServedInOverload);
 }
 
 }  // namespace wagtail::leased
--- a/tests/load/load_world.cc
+++ b/tests/load/load_world.cc
@@ -58,6 +58,7 @@
   std::vector<std::pair<session_id, uint64_t>> withdrawn;
   job_serial next_serial = 1;
   std::map<job_serial, caller*> callers;
+  loop_backlog backlog{{}};
   std::optional<double> share;  ///< of a core; nothing if processor time is not counted
   instant idle_from{};          ///< when its processor has done all that it has to
 };
@@ -133,18 +134,24 @@
         entry.withdrawn.emplace_back(session, order);
       },
       [this, &entry](job_serial serial, const job_answer& answer) {
-        auto found = entry.callers.find(serial);
-        caller* who = found->second;
-        entry.callers.erase(found);
-        instant told = Spend(entry, settings_.costs.answer);
-        time_.At(told, [this, who, answer] { Answered(*who, answer); });
+        Spend(entry, settings_.costs.answer);
+        Answer(entry, serial, answer);
       },
       [](const board_note& /*note*/) {});
   TickEntry(entry);
 }
 
+void load_world::Answer(entry_node& entry, job_serial serial, const job_answer& answer) {
+  auto found = entry.callers.find(serial);
+  caller* who = found->second;
+  entry.callers.erase(found);
+  time_.At(entry.idle_from, [this, who, answer] { Answered(*who, answer); });
+}
+
 void load_world::TickEntry(entry_node& entry) {
-  OnProcessor(entry, duration::zero(), [this, &entry] {
+  OnProcessor(entry, duration::zero(), [this, &entry, due = time_.now()] {
+    entry.backlog.Taken(time_.now() - due, time_.now());
+    entry.backlog.TimerSet(time_.now() + kEntryTick);
     entry.board->Tick(time_.now());
     Place(entry);
     time_.After(kEntryTick, [this, &entry] { TickEntry(entry); });
@@ -375,16 +382,24 @@
   callers_[id] = std::move(who);
   OnProcessor(entry, settings_.costs.request,
               [this, &entry, serial, submission = std::move(submission)]() mutable {
+                if (entry.backlog.IsOver(time_.now())) {
+                  Answer(entry, serial, {.outcome = job_outcome::kRefused, .reason = "busy"});
+                  return;
+                }
+                entry.backlog.Posted(time_.now());
                 Admit(entry, serial, std::move(submission));
               });
 }
 
 void load_world::Admit(entry_node& entry, job_serial serial, job_submission submission) {
-  OnProcessor(entry, settings_.costs.job,
-              [this, &entry, serial, submission = std::move(submission)]() mutable {
-                entry.board->Submit(serial, std::move(submission), time_.now());
-                Place(entry);
-              });
+  OnProcessor(
+      entry, settings_.costs.job,
+      [this, &entry, serial, arrived = time_.now(), submission = std::move(submission)]() mutable {
+        submission.queued = time_.now() - arrived;
+        entry.backlog.Taken(submission.queued, time_.now());
+        entry.board->Submit(serial, std::move(submission), time_.now());
+        Place(entry);
+      });
 }
 
 void load_world::Count(const caller& who, const load_result& got) {
--- a/tests/load/load_world.h
+++ b/tests/load/load_world.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "board/job_board.h"
+#include "board/loop_backlog.h"
 #include "leases/run_keeper.h"
 #include "tests/one_run/fake_leased_target.h"
 #include "tests/one_run/virtual_time.h"
@@ -122,6 +123,7 @@
   void Carry(agent_node& agent, const target_call& call);
   entry_node& AnyEntry();
   void HandIn(const load_kind& kind);
+  void Answer(entry_node& entry, job_serial serial, const job_answer& answer);
   void Admit(entry_node& entry, job_serial serial, job_submission submission);
   void ScheduleNext(const load_kind& kind);
   void Count(const caller& who, const load_result& got);
--- a/utilities/wagtailctl/job_story.cc
+++ b/utilities/wagtailctl/job_story.cc
@@ -26,12 +26,14 @@
   std::string_view remedy;
 };
 
-constexpr std::array<explanation, 10> kExplanations = {{
+constexpr std::array<explanation, 11> kExplanations = {{
     {"overload", "the work due before it would have taken longer than its objective allows",
      "a burst, or too little room: see job_refused for the expected wait; the caller was told when "
      "to come back"},
     {"objective_out_of_reach", "no target had room before its latest start",
      "a burst, or too little room: look for agents that were lost and targets that left"},
+    {"too_old", "it waited for the entry's event loop until its objective was out of reach",
+     "see processor_use of the entry: its processor is behind; add entries or give it more"},
     {"no_target", "no target in use could hold its tasks",
      "look for target_announced, plan_taken and agent_lost before it; compare the tasks' room with "
      "the targets'"},
