--- a/libraries/rpc/rpc_server.h
+++ b/libraries/rpc/rpc_server.h
@@ -3,11 +3,10 @@
 #include <capnp/rpc-twoparty.h>
 
 #include <cstdint>
-#include <functional>
 #include <string>
 
 #include "absl/status/status.h"
-#include "rpc/event_loop.h"
+#include "rpc/listen.h"
 
 namespace wagtail {
 
@@ -20,13 +19,9 @@
 
   uint16_t port() { return static_cast<uint16_t>(receiver_->getPort()); }
 
-  /// Receives the listening socket, on the loop's thread.
-  using listen_hook = std::function<void(kj::Own<kj::ConnectionReceiver>)>;
-  /// Opens a listening socket; blocks. Not to be called from the loop's thread.
-  /// @param address IP:PORT; port 0 takes an ephemeral one
-  /// @return OK once `on_listening` has run, or why nothing listens there
+  /// Opens a listening socket whose connections gather what they write, as ListenAt does.
   static absl::Status Listen(event_loop& loop, const std::string& address,
-                             listen_hook on_listening);
+                             const listen_hook& on_listening);
 
  private:
   kj::Own<kj::ConnectionReceiver> receiver_;
--- a/libraries/session/agent_sessions.cc
+++ b/libraries/session/agent_sessions.cc
@@ -1,6 +1,6 @@
 #include "session/agent_sessions.h"
 
-#include <kj/debug.h>
+#include <capnp/message.h>
 
 #include <algorithm>
 #include <utility>
@@ -9,80 +9,76 @@
 #include "session/session_codec.h"
 
 namespace wagtail::leased {
+namespace {
 
-/// One agent's session; destroyed when its connection is gone.
-class agent_sessions::session_server final : public session_wire::Session::Server {
- public:
-  session_server(std::shared_ptr<agent_sessions*> owner, session_id session)
-      : owner_(std::move(owner)), session_(session) {}
-  ~session_server() noexcept(false) {
-    if (*owner_ != nullptr) {
-      (*owner_)->Forget(session_);
-    }
-  }
-
-  kj::Promise<void> report(ReportContext context) override {
-    if (*owner_ == nullptr) {
-      return KJ_EXCEPTION(DISCONNECTED, "the entry is stopping");
-    }
-    auto params = context.getParams();
-    (*owner_)->Report(session_, params.getReport(), context.getResults().initReply());
-    return kj::READY_NOW;
-  }
+/// A connection without a greeting is closed after this.
+constexpr duration kGreetingLimit = std::chrono::seconds(2);
 
- private:
-  std::shared_ptr<agent_sessions*> owner_;
-  session_id session_;
-};
+}  // namespace
 
-class agent_sessions::entry_server final : public session_wire::Entry::Server {
- public:
-  explicit entry_server(std::shared_ptr<agent_sessions*> owner) : owner_(std::move(owner)) {}
+agent_sessions::agent_sessions(event_loop& loop, hooks hooks)
+    : loop_(loop), hooks_(std::move(hooks)) {}
 
-  kj::Promise<void> join(JoinContext context) override {
-    if (*owner_ == nullptr) {
-      return KJ_EXCEPTION(DISCONNECTED, "the entry is stopping");
-    }
-    auto params = context.getParams();
-    session_id session = (*owner_)->Join(Read(params.getHello()), params.getAgent());
-    context.getResults().setSession(kj::heap<session_server>(owner_, session));
-    return kj::READY_NOW;
+agent_sessions::~agent_sessions() {
+  for (auto& [number, open] : sessions_) {
+    message_stream::Close(std::move(open.stream));
   }
+}
 
- private:
-  std::shared_ptr<agent_sessions*> owner_;
-};
-
-agent_sessions::agent_sessions(event_loop& loop, hooks hooks)
-    : loop_(loop), hooks_(std::move(hooks)), self_(std::make_shared<agent_sessions*>(this)) {}
-
-agent_sessions::~agent_sessions() { *self_ = nullptr; }
+void agent_sessions::Accept(kj::Own<kj::AsyncIoStream> connection) {
+  session_id number = next_session_++;
+  session& added = sessions_[number];
+  added.stream = message_stream::Open(
+      loop_, kj::mv(connection),
+      {.message =
+           [this, number](capnp::MessageReader& message) {
+             Take(number, message.getRoot<session_wire::ToEntry>());
+           },
+       .ended = [this, number](const std::string& /*why*/) { Close(number); }});
+  loop_.After(kGreetingLimit, [this, number, alive = std::weak_ptr(alive_)] {
+    if (alive.expired()) {
+      return;
+    }
+    auto found = sessions_.find(number);
+    if (found != sessions_.end() && !found->second.is_open) {
+      Close(number);
+    }
+  });
+}
 
-session_wire::Entry::Client agent_sessions::Bootstrap() { return kj::heap<entry_server>(self_); }
+void agent_sessions::Take(session_id number, session_wire::ToEntry::Reader message) {
+  if (message.isHello()) {
+    Greet(number, Read(message.getHello()));
+    return;
+  }
+  auto found = sessions_.find(number);
+  if (found == sessions_.end() || !found->second.is_open) {
+    Close(number);
+    return;
+  }
+  Report(number, message.getReport());
+}
 
-session_id agent_sessions::Join(const agent_identity& identity, session_wire::Agent::Client agent) {
+void agent_sessions::Greet(session_id number, const agent_identity& identity) {
   // The agent has given up its former connection, which this side may not have noticed yet.
   std::vector<session_id> former;
-  for (const auto& [number, open] : sessions_) {
-    if (open.identity.address == identity.address) {
-      former.push_back(number);
+  for (const auto& [other, open] : sessions_) {
+    if (other != number && open.identity.address == identity.address) {
+      former.push_back(other);
     }
   }
-  for (session_id number : former) {
-    Close(number);
+  for (session_id other : former) {
+    Close(other);
   }
-  session_id number = next_session_++;
-  sessions_.emplace(number, session{.identity = identity, .agent = kj::mv(agent)});
+  session& greeted = sessions_.at(number);
+  greeted.identity = identity;
+  greeted.is_open = true;
+  pending_.insert(number);
   hooks_.opened(number, identity);
-  return number;
+  hooks_.after_message();
 }
 
-void agent_sessions::Report(session_id number, session_wire::Report::Reader report,
-                            session_wire::Reply::Builder reply) {
-  if (!sessions_.contains(number)) {
-    // Vouching for the runs of a session that was given up would be wrong.
-    kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "the session was closed"));
-  }
+void agent_sessions::Report(session_id number, session_wire::Report::Reader report) {
   hooks_.reported(number, Read(report.getLoad()));
   for (auto result : report.getResults()) {
     hooks_.result(Read(result, number));
@@ -93,16 +89,11 @@
   for (const std::string& address : Read(report.getOtherEntries())) {
     hooks_.heard_of_entry(address);
   }
-  const operating_plan& plan = hooks_.plan();
-  reply.setPlanRevision(plan.revision);
-  if (plan.revision > report.getPlanRevision()) {
-    Write(plan, reply.initPlan());
-  }
-  std::vector<std::string> entries = hooks_.entries();
   auto open = sessions_.find(number);
-  if (open != sessions_.end() && open->second.told_entries != entries) {
-    Write(entries, reply.initOtherEntries(static_cast<unsigned>(entries.size())));
-    open->second.told_entries = std::move(entries);
+  if (open != sessions_.end()) {
+    open->second.report_sent = report.getSent();
+    open->second.plan_known = std::max(open->second.plan_known, report.getPlanRevision());
+    pending_.insert(number);
   }
   hooks_.after_message();
 }
@@ -124,45 +115,69 @@
 }
 
 void agent_sessions::Flush() {
+  if (pending_.empty()) {
+    return;
+  }
+  const std::vector<std::string>& entries = hooks_.entries();
+  if (entries != entries_) {
+    entries_ = entries;
+    ++entries_number_;
+  }
   for (session_id number : std::exchange(pending_, {})) {
     auto found = sessions_.find(number);
-    if (found == sessions_.end()) {
-      continue;
+    if (found != sessions_.end() && found->second.is_open) {
+      Send(found->second);
     }
-    session& open = found->second;
-    auto request = open.agent.orderRequest();
-    auto jobs = request.initJobs(static_cast<unsigned>(open.orders.size()));
+  }
+}
+
+void agent_sessions::Send(session& to) {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<session_wire::ToAgent>();
+  out.setReportSent(to.report_sent);
+  const operating_plan& plan = hooks_.plan();
+  out.setPlanRevision(plan.revision);
+  if (plan.revision > to.plan_known) {
+    Write(plan, out.initPlan());
+    to.plan_known = plan.revision;
+  }
+  if (to.told_entries != entries_number_) {
+    Write(entries_, out.initOtherEntries(static_cast<unsigned>(entries_.size())));
+    to.told_entries = entries_number_;
+  }
+  if (!to.orders.empty()) {
+    auto jobs = out.initJobs(static_cast<unsigned>(to.orders.size()));
     for (unsigned index = 0; index < jobs.size(); ++index) {
-      Write(open.orders[index], jobs[index]);
+      Write(to.orders[index], jobs[index]);
     }
-    auto stops = request.initStops(static_cast<unsigned>(open.stops.size()));
+  }
+  if (!to.stops.empty()) {
+    auto stops = out.initStops(static_cast<unsigned>(to.stops.size()));
     for (unsigned index = 0; index < stops.size(); ++index) {
-      stops.set(index, open.stops[index]);
+      stops.set(index, to.stops[index]);
     }
-    open.orders.clear();
-    open.stops.clear();
-    loop_.Detach(request.send().ignoreResult(), [this, number](kj::Exception&& error) {
-      LogFact(log_level::kWarning, "order_message_failed",
-              {{"session", number}, {"error", error.getDescription().cStr()}});
-      Close(number);
-    });
   }
+  to.orders.clear();
+  to.stops.clear();
+  to.stream->Send(message);
 }
 
-void agent_sessions::SendPlan(const operating_plan& plan) {
-  for (auto& [number, open] : sessions_) {
-    auto request = open.agent.orderRequest();
-    Write(plan, request.initPlan());
-    // A failure shows in the session's end.
-    loop_.Detach(request.send().ignoreResult(), [](kj::Exception&& /*error*/) {});
+void agent_sessions::SendPlan() {
+  for (const auto& [number, open] : sessions_) {
+    pending_.insert(number);
   }
 }
 
-void agent_sessions::Close(session_id session) { Forget(session); }
-
-void agent_sessions::Forget(session_id session) {
-  if (sessions_.erase(session) > 0) {
-    hooks_.closed(session);
+void agent_sessions::Close(session_id number) {
+  auto found = sessions_.find(number);
+  if (found == sessions_.end()) {
+    return;
+  }
+  bool was_open = found->second.is_open;
+  message_stream::Close(std::move(found->second.stream));
+  sessions_.erase(found);
+  if (was_open) {
+    hooks_.closed(number);
   }
 }
 
--- a/libraries/session/agent_sessions.h
+++ b/libraries/session/agent_sessions.h
@@ -1,18 +1,19 @@
 #pragma once
 
-#include <capnp/capability.h>
+#include <kj/async-io.h>
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
-#include <span>
 #include <string>
 #include <vector>
 
 #include "board/board_events.h"
 #include "rpc/event_loop.h"
+#include "rpc/message_stream.h"
 #include "session/session.capnp.h"
 
 namespace wagtail::leased {
@@ -29,49 +30,53 @@
     std::function<void()> after_message;  ///< all that a message told has been passed on
     std::function<const operating_plan&()> plan;
     std::function<void(operating_plan)> newer_plan;
-    std::function<std::vector<std::string>()> entries;       ///< addresses of entries known here
-    std::function<void(const std::string&)> heard_of_entry;  ///< an agent has a session with it
+    std::function<const std::vector<std::string>&()> entries;  ///< addresses of entries known here
+    std::function<void(const std::string&)> heard_of_entry;    ///< an agent has a session with it
   };
 
   agent_sessions(event_loop& loop, hooks hooks);
   ~agent_sessions();
 
-  /// @return what each connection of an agent is given
-  session_wire::Entry::Client Bootstrap();
-
+  /// Takes an agent's connection; the session opens with its greeting.
+  void Accept(kj::Own<kj::AsyncIoStream> connection);
   /// Sends orders when Flush is called next.
   void Order(order_batch batch);
   /// Takes an order back when Flush is called next.
   void Withdraw(session_id session, uint64_t order);
+  /// Sends what is due: orders, stops, and that reports were taken. To be called after
+  /// `after_message`, once for all messages of a turn.
   void Flush();
-  /// Tells every agent of the plan.
-  void SendPlan(const operating_plan& plan);
+  /// Tells every agent of the plan when Flush is called next.
+  void SendPlan();
   /// Ends a session from this side; the closed hook runs.
   void Close(session_id session);
   size_t size() const { return sessions_.size(); }
 
  private:
-  class entry_server;
-  class session_server;
   struct session {
-    agent_identity identity;
-    session_wire::Agent::Client agent;
+    agent_identity identity{};  ///< empty before the greeting
+    std::shared_ptr<message_stream> stream{};
     std::vector<order_batch> orders{};
     std::vector<uint64_t> stops{};
-    std::vector<std::string> told_entries{};  ///< as last sent
+    int64_t report_sent = 0;    ///< of the newest report
+    uint64_t plan_known = 0;    ///< revision that the agent is known to have
+    unsigned told_entries = 0;  ///< number of the list last sent, see entries_number_
+    bool is_open = false;
   };
 
-  session_id Join(const agent_identity& identity, session_wire::Agent::Client agent);
-  void Report(session_id session, session_wire::Report::Reader report,
-              session_wire::Reply::Builder reply);
-  void Forget(session_id session);
+  void Take(session_id number, session_wire::ToEntry::Reader message);
+  void Greet(session_id number, const agent_identity& identity);
+  void Report(session_id number, session_wire::Report::Reader report);
+  void Send(session& to);
 
   event_loop& loop_;
   hooks hooks_;
   std::map<session_id, session> sessions_;
   std::set<session_id> pending_;
   session_id next_session_ = 1;
-  std::shared_ptr<agent_sessions*> self_;  ///< null once destroyed; held by the servers
+  std::vector<std::string> entries_;  ///< as last asked for
+  unsigned entries_number_ = 1;       ///< raised with each change of that list
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  ///< for timers that outlive this
 };
 
 }  // namespace wagtail::leased
--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -1,12 +1,13 @@
 #include "session/entry_links.h"
 
+#include <capnp/message.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <utility>
 
 #include "base/identifiers.h"
 #include "logging/logging.h"
-#include "rpc/batching_stream.h"
 #include "session/session_codec.h"
 
 namespace wagtail::leased {
@@ -21,9 +22,8 @@
   bool dialing = false;
   session_id session = 0;  ///< 0: no open session
   uint64_t attempt = 0;    ///< tells callbacks of earlier connections apart
-  kj::Own<kj::AsyncIoStream> stream{};
-  kj::Own<capnp::TwoPartyClient> client{};
-  kj::Maybe<session_wire::Session::Client> remote{};
+  std::shared_ptr<message_stream> stream{};
+  instant greeted{};  ///< when the greeting was sent
   instant answered{};
   instant last_report{};
   uint64_t plan_known = 0;  ///< revision that the entry is known to have
@@ -37,24 +37,6 @@
   std::vector<run_result> results{};
 };
 
-/// Receives the orders of one session.
-class entry_links::agent_server final : public session_wire::Agent::Server {
- public:
-  agent_server(std::shared_ptr<entry_links*> owner, session_id session)
-      : owner_(std::move(owner)), session_(session) {}
-
-  kj::Promise<void> order(OrderContext context) override {
-    if (*owner_ != nullptr) {
-      (*owner_)->Receive(session_, context.getParams());
-    }
-    return kj::READY_NOW;
-  }
-
- private:
-  std::shared_ptr<entry_links*> owner_;
-  session_id session_;
-};
-
 entry_links::entry_links(event_loop& loop, agent_identity self, entry_links_options options,
                          hooks hooks)
     : loop_(loop),
@@ -114,41 +96,60 @@
                          return stream.attach(kj::mv(where));
                        });
   duration patience = target.pace.Begin(hooks_.now());
-  auto connecting =
-      loop_.timer()
-          .timeoutAfter(patience.count() * kj::MICROSECONDS, kj::mv(connected))
-          .then([owner, current](kj::Own<kj::AsyncIoStream> stream) -> kj::Promise<void> {
-            link* each = current();
-            if (each == nullptr) {
-              return kj::READY_NOW;
-            }
-            each->stream = Batching(kj::mv(stream));
-            each->client = kj::heap<capnp::TwoPartyClient>(*each->stream);
-            session_id session = (*owner)->next_session_++;
-            instant sent = (*owner)->hooks_.now();
-            auto entry = each->client->bootstrap().castAs<session_wire::Entry>();
-            auto request = entry.joinRequest();
-            Write((*owner)->self_, request.initHello());
-            request.setAgent(kj::heap<agent_server>(owner, session));
-            return request.send().then([owner, current, session, sent](auto&& response) {
-              link* joined = current();
-              if (joined != nullptr) {
-                joined->remote = response.getSession();
-                (*owner)->Joined(*joined, session, sent);
-              }
-            });
-          });
-  auto limited = loop_.timer().timeoutAfter(options_.join_limit.count() * kj::MICROSECONDS,
-                                            kj::mv(connecting));
-  loop_.Detach(kj::mv(limited), [owner, current](kj::Exception&& error) {
+  auto connecting = loop_.timer()
+                        .timeoutAfter(patience.count() * kj::MICROSECONDS, kj::mv(connected))
+                        .then([owner, current](kj::Own<kj::AsyncIoStream> connection) {
+                          link* each = current();
+                          if (each != nullptr) {
+                            (*owner)->Connected(*each, kj::mv(connection));
+                          }
+                        });
+  auto failed = [owner, current](const std::string& why) {
     link* each = current();
     if (each != nullptr) {
-      (*owner)->Drop(*each, error.getDescription().cStr());
+      (*owner)->Drop(*each, why);
+    }
+  };
+  loop_.Detach(kj::mv(connecting),
+               [failed](kj::Exception&& error) { failed(error.getDescription().cStr()); });
+  loop_.After(options_.join_limit, [current, failed] {
+    link* each = current();
+    if (each != nullptr && each->session == 0) {
+      failed("not joined in time");
     }
   });
 }
 
-void entry_links::Joined(link& target, session_id session, instant sent) {
+void entry_links::Connected(link& target, kj::Own<kj::AsyncIoStream> connection) {
+  auto current = [this, attempt = target.attempt, address = target.address]() -> link* {
+    auto found = links_.find(address);
+    bool valid = found != links_.end() && found->second->attempt == attempt;
+    return valid ? found->second.get() : nullptr;
+  };
+  target.stream =
+      message_stream::Open(loop_, kj::mv(connection),
+                           {.message =
+                                [this, current](capnp::MessageReader& message) {
+                                  link* each = current();
+                                  if (each != nullptr) {
+                                    Receive(*each, message.getRoot<session_wire::ToAgent>());
+                                  }
+                                },
+                            .ended =
+                                [this, current](const std::string& why) {
+                                  link* each = current();
+                                  if (each != nullptr) {
+                                    Drop(*each, why);
+                                  }
+                                }});
+  target.greeted = hooks_.now();
+  capnp::MallocMessageBuilder message;
+  Write(self_, message.initRoot<session_wire::ToEntry>().initHello());
+  target.stream->Send(message);
+}
+
+void entry_links::Joined(link& target) {
+  session_id session = next_session_++;
   target.dialing = false;
   target.session = session;
   target.pace.Connected();
@@ -160,7 +161,7 @@
   target.results.clear();
   target.retired = {};
   LogFact(log_level::kInfo, "entry_joined", {{"entry", target.address}, {"session", session}});
-  hooks_.opened(session, sent);
+  hooks_.opened(session, target.greeted);
   Send(target, hooks_.load(), hooks_.now());
 }
 
@@ -171,9 +172,7 @@
           {{"entry", target.address}, {"session", session}, {"why", why}});
   target.dialing = false;
   ++target.attempt;
-  target.remote = nullptr;
-  target.client = nullptr;
-  target.stream = nullptr;
+  message_stream::Close(std::exchange(target.stream, nullptr));
   target.results.clear();
   if (session == 0) {
     target.pace.Failed(now);
@@ -265,97 +264,75 @@
 }
 
 void entry_links::Send(link& target, const target_status& load, instant now) {
-  KJ_IF_MAYBE (remote, target.remote) {
-    auto request = remote->reportRequest();
-    auto report = request.initReport();
-    session_report status{.load = load,
-                          .entries = static_cast<unsigned>(Open().size()),
-                          .orders_seen = target.orders_seen,
-                          .settled = hooks_.settled()};
-    if (target.retired != instant{}) {
-      status.load.state = target_availability::kAbsent;
-    }
-    Write(status, report.initLoad());
+  capnp::MallocMessageBuilder message;
+  auto report = message.initRoot<session_wire::ToEntry>().initReport();
+  std::vector<std::string> open = Open();
+  session_report status{.load = load,
+                        .entries = static_cast<unsigned>(open.size()),
+                        .orders_seen = target.orders_seen,
+                        .settled = hooks_.settled()};
+  if (target.retired != instant{}) {
+    status.load.state = target_availability::kAbsent;
+  }
+  Write(status, report.initLoad());
+  if (!target.results.empty()) {
     auto results = report.initResults(static_cast<unsigned>(target.results.size()));
     for (unsigned index = 0; index < results.size(); ++index) {
       Write(target.results[index], results[index]);
     }
-    const operating_plan& plan = hooks_.plan();
-    report.setPlanRevision(plan.revision);
-    if (plan.revision > target.plan_known) {
-      target.plan_known = plan.revision;
-      Write(plan, report.initPlan());
-    }
-    // Said again now and then, since entries forget what nobody names.
-    std::vector<std::string> open = Open();
-    if (open != target.told_entries || now - target.entries_told_at > options_.name_entries) {
-      Write(open, report.initOtherEntries(static_cast<unsigned>(open.size())));
-      target.told_entries = std::move(open);
-      target.entries_told_at = now;
-    }
-    target.results.clear();
-    target.told = load;
-    target.last_report = now;
-    auto owner = alive_;
-    uint64_t attempt = target.attempt;
-    auto sent = request.send().then(
-        [owner, now, attempt, address = target.address, session = target.session](auto&& response) {
-          if (*owner == nullptr) {
-            return;
-          }
-          auto found = (*owner)->links_.find(address);
-          if (found != (*owner)->links_.end() && found->second->attempt == attempt) {
-            (*owner)->Answered(*found->second, session, now, response.getReply());
-          }
-        });
-    loop_.Detach(kj::mv(sent), [owner, attempt, address = target.address](kj::Exception&& error) {
-      if (*owner == nullptr) {
-        return;
-      }
-      auto found = (*owner)->links_.find(address);
-      if (found != (*owner)->links_.end() && found->second->attempt == attempt) {
-        (*owner)->Drop(*found->second, error.getDescription().cStr());
-      }
-    });
   }
+  const operating_plan& plan = hooks_.plan();
+  report.setPlanRevision(plan.revision);
+  if (plan.revision > target.plan_known) {
+    target.plan_known = plan.revision;
+    Write(plan, report.initPlan());
+  }
+  // Said again now and then, since entries forget what nobody names.
+  if (open != target.told_entries || now - target.entries_told_at > options_.name_entries) {
+    Write(open, report.initOtherEntries(static_cast<unsigned>(open.size())));
+    target.told_entries = std::move(open);
+    target.entries_told_at = now;
+  }
+  report.setSent(now.time_since_epoch().count());
+  target.results.clear();
+  target.told = load;
+  target.last_report = now;
+  target.stream->Send(message);
 }
 
-void entry_links::Answered(link& target, session_id session, instant sent,
-                           session_wire::Reply::Reader reply) {
+void entry_links::Receive(link& target, session_wire::ToAgent::Reader message) {
+  if (target.session == 0) {
+    Joined(target);
+  }
   target.answered = hooks_.now();
   target.named = target.answered;
-  target.plan_known = std::max(target.plan_known, reply.getPlanRevision());
-  hooks_.vouched(session, sent);
-  for (const std::string& address : Read(reply.getOtherEntries())) {
+  target.plan_known = std::max(target.plan_known, message.getPlanRevision());
+  if (message.getReportSent() != 0) {
+    hooks_.vouched(target.session, instant(duration(message.getReportSent())));
+  }
+  for (const std::string& address : Read(message.getOtherEntries())) {
     Know(address);
   }
-  if (reply.hasPlan()) {
-    hooks_.newer_plan(Read(reply.getPlan()));
+  if (message.hasPlan()) {
+    hooks_.newer_plan(Read(message.getPlan()));
   }
+  TakeOrders(target, message);
+  hooks_.after_message();
 }
 
-void entry_links::Receive(session_id session, session_wire::Agent::OrderParams::Reader params) {
-  auto found = std::ranges::find_if(
-      links_, [session](const auto& item) { return item.second->session == session; });
-  if (params.hasPlan()) {
-    hooks_.newer_plan(Read(params.getPlan()));
+void entry_links::TakeOrders(link& from, session_wire::ToAgent::Reader message) {
+  if (message.getJobs().size() > 0) {
+    from.last_order = hooks_.now();
   }
-  if (found == links_.end()) {
-    return;  // the session is over on this side: its orders are void
-  }
-  if (params.getJobs().size() > 0) {
-    found->second->last_order = hooks_.now();
-  }
-  for (auto job : params.getJobs()) {
-    for (run_order& order : Read(job, session)) {
-      found->second->orders_seen = std::max(found->second->orders_seen, order.order);
+  for (auto job : message.getJobs()) {
+    for (run_order& order : Read(job, from.session)) {
+      from.orders_seen = std::max(from.orders_seen, order.order);
       hooks_.order(std::move(order));
     }
   }
-  for (uint64_t order : params.getStops()) {
-    hooks_.withdraw(session, order);
+  for (uint64_t order : message.getStops()) {
+    hooks_.withdraw(from.session, order);
   }
-  hooks_.after_message();
 }
 
 }  // namespace wagtail::leased
--- a/libraries/session/entry_links.h
+++ b/libraries/session/entry_links.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <capnp/rpc-twoparty.h>
-
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -13,6 +11,7 @@
 
 #include "board/board_events.h"
 #include "rpc/event_loop.h"
+#include "rpc/message_stream.h"
 #include "session/dial_pace.h"
 #include "session/link_limits.h"
 #include "session/session.capnp.h"
@@ -83,7 +82,6 @@
 
  private:
   struct link;
-  class agent_server;
 
   std::vector<link*> Ranked();
   void KeepLinks(instant now);
@@ -92,11 +90,12 @@
   bool IsDue(const link& target, const target_status& load, instant now) const;
 
   void Dial(link& target);
-  void Joined(link& target, session_id session, instant sent);
+  void Connected(link& target, kj::Own<kj::AsyncIoStream> connection);
+  void Joined(link& target);
   void Drop(link& target, const std::string& why);
   void Send(link& target, const target_status& load, instant now);
-  void Answered(link& target, session_id session, instant sent, session_wire::Reply::Reader reply);
-  void Receive(session_id session, session_wire::Agent::OrderParams::Reader params);
+  void Receive(link& target, session_wire::ToAgent::Reader message);
+  void TakeOrders(link& from, session_wire::ToAgent::Reader message);
 
   event_loop& loop_;
   agent_identity self_;
--- a/libraries/session/session.capnp
+++ b/libraries/session/session.capnp
@@ -1,6 +1,6 @@
 @0xd0f3a9b7c5e21846;
-# Spoken between entries and targets' agents. Agents connect to every entry they know; entries send
-# orders back over the same connection. All durations are in microseconds.
+# Spoken between entries and targets' agents. Agents connect to entries, and both ends send one-way
+# messages over the connection. All durations are in microseconds.
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("wagtail::session_wire");
@@ -97,6 +97,7 @@
   planRevision @2 :UInt64;
   plan @3 :Plan;              # present when newer than the entry's
   otherEntries @4 :List(Text);
+  sent @5 :Int64;             # on the agent's clock
 }
 
 struct Hello {
@@ -105,20 +106,20 @@
   domain @2 :Text;
 }
 
-struct Reply {
-  planRevision @0 :UInt64;
-  plan @1 :Plan;              # present when newer than the agent's
-  otherEntries @2 :List(Text);
+# Of a connection's messages to the entry the first is a greeting, the others are reports.
+struct ToEntry {
+  union {
+    hello @0 :Hello;
+    report @1 :Report;
+  }
 }
 
-interface Agent {
-  order @0 (jobs :List(JobOrder), stops :List(UInt64), plan :Plan) -> ();
-}
-
-interface Session {
-  report @0 (report :Report) -> (reply :Reply);
-}
-
-interface Entry {
-  join @0 (hello :Hello, agent :Agent) -> (session :Session);
+# What is due to an agent at the end of a turn of the entry's loop.
+struct ToAgent {
+  reportSent @0 :Int64;       # of the newest report that the entry took; 0 before the first one
+  planRevision @1 :UInt64;
+  plan @2 :Plan;              # present when newer than the agent's
+  otherEntries @3 :List(Text);
+  jobs @4 :List(JobOrder);
+  stops @5 :List(UInt64);
 }
--- a/libraries/session/session.capnp.c++
+++ b/libraries/session/session.capnp.c++
@@ -1075,59 +1075,66 @@
   1, 15, i_eceaf8ae5c2f8830, nullptr, nullptr, { &s_eceaf8ae5c2f8830, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<102> b_93167701a35a145a = {
+static const ::capnp::_::AlignedData<117> b_93167701a35a145a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      90,  20,  90, 163,   1, 119,  22, 147,
-     14,   0,   0,   0,   1,   0,   1,   0,
+     14,   0,   0,   0,   1,   0,   2,   0,
      70,  24, 226, 197, 183, 169, 243, 208,
       4,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 170,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  31,   1,   0,   0,
+     25,   0,   0,   0,  87,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 101, 115, 115, 105, 111, 110,  46,
      99,  97, 112, 110, 112,  58,  82, 101,
     112, 111, 114, 116,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     20,   0,   0,   0,   3,   0,   4,   0,
+     24,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,  42,   0,   0,   0,
+    153,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    120,   0,   0,   0,   3,   0,   1,   0,
-    132,   0,   0,   0,   2,   0,   1,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    129,   0,   0,   0,  66,   0,   0,   0,
+    157,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    124,   0,   0,   0,   3,   0,   1,   0,
-    152,   0,   0,   0,   2,   0,   1,   0,
+    152,   0,   0,   0,   3,   0,   1,   0,
+    180,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    149,   0,   0,   0, 106,   0,   0,   0,
+    177,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    148,   0,   0,   0,   3,   0,   1,   0,
-    160,   0,   0,   0,   2,   0,   1,   0,
+    176,   0,   0,   0,   3,   0,   1,   0,
+    188,   0,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    157,   0,   0,   0,  42,   0,   0,   0,
+    185,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    152,   0,   0,   0,   3,   0,   1,   0,
-    164,   0,   0,   0,   2,   0,   1,   0,
+    180,   0,   0,   0,   3,   0,   1,   0,
+    192,   0,   0,   0,   2,   0,   1,   0,
       4,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    161,   0,   0,   0, 106,   0,   0,   0,
+    189,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    160,   0,   0,   0,   3,   0,   1,   0,
-    188,   0,   0,   0,   2,   0,   1,   0,
+    188,   0,   0,   0,   3,   0,   1,   0,
+    216,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    213,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    208,   0,   0,   0,   3,   0,   1,   0,
+    220,   0,   0,   0,   2,   0,   1,   0,
     108, 111,  97, 100,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
      48, 136,  47,  92, 174, 248, 234, 236,
@@ -1176,6 +1183,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 110, 116,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -1186,11 +1201,11 @@
   &s_e720952a954cfa50,
   &s_eceaf8ae5c2f8830,
 };
-static const uint16_t m_93167701a35a145a[] = {0, 4, 3, 2, 1};
-static const uint16_t i_93167701a35a145a[] = {0, 1, 2, 3, 4};
+static const uint16_t m_93167701a35a145a[] = {0, 4, 3, 2, 1, 5};
+static const uint16_t i_93167701a35a145a[] = {0, 1, 2, 3, 4, 5};
 const ::capnp::_::RawSchema s_93167701a35a145a = {
-  0x93167701a35a145a, b_93167701a35a145a.words, 102, d_93167701a35a145a, m_93167701a35a145a,
-  3, 5, i_93167701a35a145a, nullptr, nullptr, { &s_93167701a35a145a, nullptr, nullptr, 0, 0, nullptr }
+  0x93167701a35a145a, b_93167701a35a145a.words, 117, d_93167701a35a145a, m_93167701a35a145a,
+  3, 6, i_93167701a35a145a, nullptr, nullptr, { &s_93167701a35a145a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<62> b_8862af0c729479cd = {
@@ -1266,527 +1281,203 @@
   0, 3, i_8862af0c729479cd, nullptr, nullptr, { &s_8862af0c729479cd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<68> b_9b881a3e12e5f81a = {
+static const ::capnp::_::AlignedData<47> b_b5b27efa8584fbbb = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-     26, 248, 229,  18,  62,  26, 136, 155,
+    187, 251, 132, 133, 250, 126, 178, 181,
      14,   0,   0,   0,   1,   0,   1,   0,
      70,  24, 226, 197, 183, 169, 243, 208,
-      2,   0,   7,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   2,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 162,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 175,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 101, 115, 115, 105, 111, 110,  46,
-     99,  97, 112, 110, 112,  58,  82, 101,
-    112, 108, 121,   0,   0,   0,   0,   0,
+     99,  97, 112, 110, 112,  58,  84, 111,
+     69, 110, 116, 114, 121,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0, 255, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0, 106,   0,   0,   0,
+     41,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     68,   0,   0,   0,   3,   0,   1,   0,
-     80,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0, 254, 255,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-     84,   0,   0,   0,   2,   0,   1,   0,
-      2,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   1,   0,   2,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0, 106,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     80,   0,   0,   0,   3,   0,   1,   0,
-    108,   0,   0,   0,   2,   0,   1,   0,
-    112, 108,  97, 110,  82, 101, 118, 105,
-    115, 105, 111, 110,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112, 108,  97, 110,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    104, 101, 108, 108, 111,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    112, 254, 119, 246,  58, 116,  41, 144,
+    205, 121, 148, 114,  12, 175,  98, 136,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    111, 116, 104, 101, 114,  69, 110, 116,
-    114, 105, 101, 115,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   3,   0,   1,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 112, 111, 114, 116,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     90,  20,  90, 163,   1, 119,  22, 147,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_9b881a3e12e5f81a = b_9b881a3e12e5f81a.words;
+::capnp::word const* const bp_b5b27efa8584fbbb = b_b5b27efa8584fbbb.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_9b881a3e12e5f81a[] = {
-  &s_9029743af677fe70,
+static const ::capnp::_::RawSchema* const d_b5b27efa8584fbbb[] = {
+  &s_8862af0c729479cd,
+  &s_93167701a35a145a,
 };
-static const uint16_t m_9b881a3e12e5f81a[] = {2, 1, 0};
-static const uint16_t i_9b881a3e12e5f81a[] = {0, 1, 2};
-const ::capnp::_::RawSchema s_9b881a3e12e5f81a = {
-  0x9b881a3e12e5f81a, b_9b881a3e12e5f81a.words, 68, d_9b881a3e12e5f81a, m_9b881a3e12e5f81a,
-  1, 3, i_9b881a3e12e5f81a, nullptr, nullptr, { &s_9b881a3e12e5f81a, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_b5b27efa8584fbbb[] = {0, 1};
+static const uint16_t i_b5b27efa8584fbbb[] = {0, 1};
+const ::capnp::_::RawSchema s_b5b27efa8584fbbb = {
+  0xb5b27efa8584fbbb, b_b5b27efa8584fbbb.words, 47, d_b5b27efa8584fbbb, m_b5b27efa8584fbbb,
+  2, 2, i_b5b27efa8584fbbb, nullptr, nullptr, { &s_b5b27efa8584fbbb, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<28> b_f99764cf6259ad22 = {
+static const ::capnp::_::AlignedData<122> b_a7ede1c707704afd = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-     34, 173,  89,  98, 207, 100, 151, 249,
-     14,   0,   0,   0,   3,   0,   0,   0,
+    253,  74, 112,   7, 199, 225, 237, 167,
+     14,   0,   0,   0,   1,   0,   2,   0,
      70,  24, 226, 197, 183, 169, 243, 208,
+      4,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 162,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  71,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    115, 101, 115, 115, 105, 111, 110,  46,
-     99,  97, 112, 110, 112,  58,  65, 103,
-    101, 110, 116,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-      4,   0,   0,   0,   3,   0,   5,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    138, 216, 126,   0, 181, 151,  65, 155,
-     71,   7, 103, 172,  81, 115,  84, 200,
-     17,   0,   0,   0,  50,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   7,   0,   0,   0,
-    111, 114, 100, 101, 114,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   1,   0,
-      0,   0,   0,   0,   1,   0,   1,   0, }
-};
-::capnp::word const* const bp_f99764cf6259ad22 = b_f99764cf6259ad22.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_f99764cf6259ad22[] = {
-  &s_9b4197b5007ed88a,
-  &s_c8547351ac670747,
-};
-static const uint16_t m_f99764cf6259ad22[] = {0};
-const ::capnp::_::RawSchema s_f99764cf6259ad22 = {
-  0xf99764cf6259ad22, b_f99764cf6259ad22.words, 28, d_f99764cf6259ad22, m_f99764cf6259ad22,
-  2, 1, nullptr, nullptr, nullptr, { &s_f99764cf6259ad22, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<71> b_9b4197b5007ed88a = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    138, 216, 126,   0, 181, 151,  65, 155,
-     20,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      3,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  10,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 175,   0,   0,   0,
+     25,   0,   0,   0,  87,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 101, 115, 115, 105, 111, 110,  46,
-     99,  97, 112, 110, 112,  58,  65, 103,
-    101, 110, 116,  46, 111, 114, 100, 101,
-    114,  36,  80,  97, 114,  97, 109, 115,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     99,  97, 112, 110, 112,  58,  84, 111,
+     65, 103, 101, 110, 116,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     24,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  42,   0,   0,   0,
+    153,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     92,   0,   0,   0,   2,   0,   1,   0,
+    152,   0,   0,   0,   3,   0,   1,   0,
+    164,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     89,   0,   0,   0,  50,   0,   0,   0,
+    161,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     84,   0,   0,   0,   3,   0,   1,   0,
-    112,   0,   0,   0,   2,   0,   1,   0,
-      2,   0,   0,   0,   2,   0,   0,   0,
+    160,   0,   0,   0,   3,   0,   1,   0,
+    172,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    104,   0,   0,   0,   3,   0,   1,   0,
-    116,   0,   0,   0,   2,   0,   1,   0,
-    106, 111,  98, 115,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   3,   0,   1,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-    198,  82, 206, 168, 198,  66, 150, 139,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    115, 116, 111, 112, 115,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   3,   0,   1,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    112, 108,  97, 110,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-    112, 254, 119, 246,  58, 116,  41, 144,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_9b4197b5007ed88a = b_9b4197b5007ed88a.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_9b4197b5007ed88a[] = {
-  &s_8b9642c6a8ce52c6,
-  &s_9029743af677fe70,
-};
-static const uint16_t m_9b4197b5007ed88a[] = {0, 2, 1};
-static const uint16_t i_9b4197b5007ed88a[] = {0, 1, 2};
-const ::capnp::_::RawSchema s_9b4197b5007ed88a = {
-  0x9b4197b5007ed88a, b_9b4197b5007ed88a.words, 71, d_9b4197b5007ed88a, m_9b4197b5007ed88a,
-  2, 3, i_9b4197b5007ed88a, nullptr, nullptr, { &s_9b4197b5007ed88a, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<17> b_c8547351ac670747 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-     71,   7, 103, 172,  81, 115,  84, 200,
-     20,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  18,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    115, 101, 115, 115, 105, 111, 110,  46,
-     99,  97, 112, 110, 112,  58,  65, 103,
-    101, 110, 116,  46, 111, 114, 100, 101,
-    114,  36,  82, 101, 115, 117, 108, 116,
-    115,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_c8547351ac670747 = b_c8547351ac670747.words;
-#if !CAPNP_LITE
-const ::capnp::_::RawSchema s_c8547351ac670747 = {
-  0xc8547351ac670747, b_c8547351ac670747.words, 17, nullptr, nullptr,
-  0, 0, nullptr, nullptr, nullptr, { &s_c8547351ac670747, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<28> b_f7b871ba51fa9f42 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-     66, 159, 250,  81, 186, 113, 184, 247,
-     14,   0,   0,   0,   3,   0,   0,   0,
-     70,  24, 226, 197, 183, 169, 243, 208,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 178,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  71,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    115, 101, 115, 115, 105, 111, 110,  46,
-     99,  97, 112, 110, 112,  58,  83, 101,
-    115, 115, 105, 111, 110,   0,   0,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-      4,   0,   0,   0,   3,   0,   5,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    247,  33,  29, 214,  18, 117, 102, 167,
-    174, 217, 104,  83, 204, 174, 170, 198,
-     17,   0,   0,   0,  58,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   7,   0,   0,   0,
-    114, 101, 112, 111, 114, 116,   0,   0,
-      0,   0,   0,   0,   0,   0,   1,   0,
-      0,   0,   0,   0,   1,   0,   1,   0, }
-};
-::capnp::word const* const bp_f7b871ba51fa9f42 = b_f7b871ba51fa9f42.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_f7b871ba51fa9f42[] = {
-  &s_a7667512d61d21f7,
-  &s_c6aaaecc5368d9ae,
-};
-static const uint16_t m_f7b871ba51fa9f42[] = {0};
-const ::capnp::_::RawSchema s_f7b871ba51fa9f42 = {
-  0xf7b871ba51fa9f42, b_f7b871ba51fa9f42.words, 28, d_f7b871ba51fa9f42, m_f7b871ba51fa9f42,
-  2, 1, nullptr, nullptr, nullptr, { &s_f7b871ba51fa9f42, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_a7667512d61d21f7 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    247,  33,  29, 214,  18, 117, 102, 167,
-     22,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  34,   1,   0,   0,
+    169,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+    164,   0,   0,   0,   3,   0,   1,   0,
+    176,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
+    173,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+    172,   0,   0,   0,   3,   0,   1,   0,
+    200,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    115, 101, 115, 115, 105, 111, 110,  46,
-     99,  97, 112, 110, 112,  58,  83, 101,
-    115, 115, 105, 111, 110,  46, 114, 101,
-    112, 111, 114, 116,  36,  80,  97, 114,
-     97, 109, 115,   0,   0,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+    197,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
+    192,   0,   0,   0,   3,   0,   1,   0,
+    220,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  58,   0,   0,   0,
+    217,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     20,   0,   0,   0,   2,   0,   1,   0,
-    114, 101, 112, 111, 114, 116,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-     90,  20,  90, 163,   1, 119,  22, 147,
+    212,   0,   0,   0,   3,   0,   1,   0,
+    240,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 111, 114, 116,  83, 101,
+    110, 116,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_a7667512d61d21f7 = b_a7667512d61d21f7.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_a7667512d61d21f7[] = {
-  &s_93167701a35a145a,
-};
-static const uint16_t m_a7667512d61d21f7[] = {0};
-static const uint16_t i_a7667512d61d21f7[] = {0};
-const ::capnp::_::RawSchema s_a7667512d61d21f7 = {
-  0xa7667512d61d21f7, b_a7667512d61d21f7.words, 33, d_a7667512d61d21f7, m_a7667512d61d21f7,
-  1, 1, i_a7667512d61d21f7, nullptr, nullptr, { &s_a7667512d61d21f7, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_c6aaaecc5368d9ae = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    174, 217, 104,  83, 204, 174, 170, 198,
-     22,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  42,   1,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
+    112, 108,  97, 110,  82, 101, 118, 105,
+    115, 105, 111, 110,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    115, 101, 115, 115, 105, 111, 110,  46,
-     99,  97, 112, 110, 112,  58,  83, 101,
-    115, 115, 105, 111, 110,  46, 114, 101,
-    112, 111, 114, 116,  36,  82, 101, 115,
-    117, 108, 116, 115,   0,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     20,   0,   0,   0,   2,   0,   1,   0,
-    114, 101, 112, 108, 121,   0,   0,   0,
+    112, 108,  97, 110,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-     26, 248, 229,  18,  62,  26, 136, 155,
+    112, 254, 119, 246,  58, 116,  41, 144,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_c6aaaecc5368d9ae = b_c6aaaecc5368d9ae.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_c6aaaecc5368d9ae[] = {
-  &s_9b881a3e12e5f81a,
-};
-static const uint16_t m_c6aaaecc5368d9ae[] = {0};
-static const uint16_t i_c6aaaecc5368d9ae[] = {0};
-const ::capnp::_::RawSchema s_c6aaaecc5368d9ae = {
-  0xc6aaaecc5368d9ae, b_c6aaaecc5368d9ae.words, 33, d_c6aaaecc5368d9ae, m_c6aaaecc5368d9ae,
-  1, 1, i_c6aaaecc5368d9ae, nullptr, nullptr, { &s_c6aaaecc5368d9ae, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<28> b_d786b084cebe1fb7 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    183,  31, 190, 206, 132, 176, 134, 215,
-     14,   0,   0,   0,   3,   0,   0,   0,
-     70,  24, 226, 197, 183, 169, 243, 208,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 162,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  71,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    115, 101, 115, 115, 105, 111, 110,  46,
-     99,  97, 112, 110, 112,  58,  69, 110,
-    116, 114, 121,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-      4,   0,   0,   0,   3,   0,   5,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    198,  70, 206,  54,  99, 232, 229, 205,
-     56, 108,  27,  28,  26,  85, 164, 148,
-     17,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   7,   0,   0,   0,
-    106, 111, 105, 110,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   1,   0,
-      0,   0,   0,   0,   1,   0,   1,   0, }
-};
-::capnp::word const* const bp_d786b084cebe1fb7 = b_d786b084cebe1fb7.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_d786b084cebe1fb7[] = {
-  &s_94a4551a1c1b6c38,
-  &s_cde5e86336ce46c6,
-};
-static const uint16_t m_d786b084cebe1fb7[] = {0};
-const ::capnp::_::RawSchema s_d786b084cebe1fb7 = {
-  0xd786b084cebe1fb7, b_d786b084cebe1fb7.words, 28, d_d786b084cebe1fb7, m_d786b084cebe1fb7,
-  2, 1, nullptr, nullptr, nullptr, { &s_d786b084cebe1fb7, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<47> b_cde5e86336ce46c6 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    198,  70, 206,  54,  99, 232, 229, 205,
-     20,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      2,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,   2,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
+    111, 116, 104, 101, 114,  69, 110, 116,
+    114, 105, 101, 115,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    115, 101, 115, 115, 105, 111, 110,  46,
-     99,  97, 112, 110, 112,  58,  69, 110,
-    116, 114, 121,  46, 106, 111, 105, 110,
-     36,  80,  97, 114,  97, 109, 115,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   1,   0,   1,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
-    104, 101, 108, 108, 111,   0,   0,   0,
-     16,   0,   0,   0,   0,   0,   0,   0,
-    205, 121, 148, 114,  12, 175,  98, 136,
+    106, 111,  98, 115,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
+    198,  82, 206, 168, 198,  66, 150, 139,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97, 103, 101, 110, 116,   0,   0,   0,
-     17,   0,   0,   0,   0,   0,   0,   0,
-     34, 173,  89,  98, 207, 100, 151, 249,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     17,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_cde5e86336ce46c6 = b_cde5e86336ce46c6.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_cde5e86336ce46c6[] = {
-  &s_8862af0c729479cd,
-  &s_f99764cf6259ad22,
-};
-static const uint16_t m_cde5e86336ce46c6[] = {1, 0};
-static const uint16_t i_cde5e86336ce46c6[] = {0, 1};
-const ::capnp::_::RawSchema s_cde5e86336ce46c6 = {
-  0xcde5e86336ce46c6, b_cde5e86336ce46c6.words, 47, d_cde5e86336ce46c6, m_cde5e86336ce46c6,
-  2, 2, i_cde5e86336ce46c6, nullptr, nullptr, { &s_cde5e86336ce46c6, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_94a4551a1c1b6c38 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-     56, 108,  27,  28,  26,  85, 164, 148,
-     20,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  10,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,  63,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    115, 101, 115, 115, 105, 111, 110,  46,
-     99,  97, 112, 110, 112,  58,  69, 110,
-    116, 114, 121,  46, 106, 111, 105, 110,
-     36,  82, 101, 115, 117, 108, 116, 115,
       0,   0,   0,   0,   0,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+    115, 116, 111, 112, 115,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     20,   0,   0,   0,   2,   0,   1,   0,
-    115, 101, 115, 115, 105, 111, 110,   0,
-     17,   0,   0,   0,   0,   0,   0,   0,
-     66, 159, 250,  81, 186, 113, 184, 247,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     17,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_94a4551a1c1b6c38 = b_94a4551a1c1b6c38.words;
+::capnp::word const* const bp_a7ede1c707704afd = b_a7ede1c707704afd.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_94a4551a1c1b6c38[] = {
-  &s_f7b871ba51fa9f42,
+static const ::capnp::_::RawSchema* const d_a7ede1c707704afd[] = {
+  &s_8b9642c6a8ce52c6,
+  &s_9029743af677fe70,
 };
-static const uint16_t m_94a4551a1c1b6c38[] = {0};
-static const uint16_t i_94a4551a1c1b6c38[] = {0};
-const ::capnp::_::RawSchema s_94a4551a1c1b6c38 = {
-  0x94a4551a1c1b6c38, b_94a4551a1c1b6c38.words, 33, d_94a4551a1c1b6c38, m_94a4551a1c1b6c38,
-  1, 1, i_94a4551a1c1b6c38, nullptr, nullptr, { &s_94a4551a1c1b6c38, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_a7ede1c707704afd[] = {4, 3, 2, 1, 0, 5};
+static const uint16_t i_a7ede1c707704afd[] = {0, 1, 2, 3, 4, 5};
+const ::capnp::_::RawSchema s_a7ede1c707704afd = {
+  0xa7ede1c707704afd, b_a7ede1c707704afd.words, 122, d_a7ede1c707704afd, m_a7ede1c707704afd,
+  2, 6, i_a7ede1c707704afd, nullptr, nullptr, { &s_a7ede1c707704afd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 }  // namespace schemas
@@ -1869,198 +1560,20 @@
 constexpr ::capnp::_::RawSchema const* Hello::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Reply
-constexpr uint16_t Reply::_capnpPrivate::dataWordSize;
-constexpr uint16_t Reply::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Reply::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Reply::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-::capnp::Request< ::wagtail::session_wire::Agent::OrderParams,  ::wagtail::session_wire::Agent::OrderResults>
-Agent::Client::orderRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::wagtail::session_wire::Agent::OrderParams,  ::wagtail::session_wire::Agent::OrderResults>(
-      0xf99764cf6259ad22ull, 0, sizeHint);
-}
-::kj::Promise<void> Agent::Server::order(OrderContext) {
-  return ::capnp::Capability::Server::internalUnimplemented(
-      "session.capnp:Agent", "order",
-      0xf99764cf6259ad22ull, 0);
-}
-::capnp::Capability::Server::DispatchCallResult Agent::Server::dispatchCall(
-    uint64_t interfaceId, uint16_t methodId,
-    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
-  switch (interfaceId) {
-    case 0xf99764cf6259ad22ull:
-      return dispatchCallInternal(methodId, context);
-    default:
-      return internalUnimplemented("session.capnp:Agent", interfaceId);
-  }
-}
-::capnp::Capability::Server::DispatchCallResult Agent::Server::dispatchCallInternal(
-    uint16_t methodId,
-    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
-  switch (methodId) {
-    case 0:
-      return {
-        order(::capnp::Capability::Server::internalGetTypedContext<
-             ::wagtail::session_wire::Agent::OrderParams,  ::wagtail::session_wire::Agent::OrderResults>(context)),
-        false
-      };
-    default:
-      (void)context;
-      return ::capnp::Capability::Server::internalUnimplemented(
-          "session.capnp:Agent",
-          0xf99764cf6259ad22ull, methodId);
-  }
-}
-#endif  // !CAPNP_LITE
-
-// Agent
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Agent::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Agent::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Agent::OrderParams
-constexpr uint16_t Agent::OrderParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Agent::OrderParams::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Agent::OrderParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Agent::OrderParams::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Agent::OrderResults
-constexpr uint16_t Agent::OrderResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Agent::OrderResults::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Agent::OrderResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Agent::OrderResults::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-::capnp::Request< ::wagtail::session_wire::Session::ReportParams,  ::wagtail::session_wire::Session::ReportResults>
-Session::Client::reportRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::wagtail::session_wire::Session::ReportParams,  ::wagtail::session_wire::Session::ReportResults>(
-      0xf7b871ba51fa9f42ull, 0, sizeHint);
-}
-::kj::Promise<void> Session::Server::report(ReportContext) {
-  return ::capnp::Capability::Server::internalUnimplemented(
-      "session.capnp:Session", "report",
-      0xf7b871ba51fa9f42ull, 0);
-}
-::capnp::Capability::Server::DispatchCallResult Session::Server::dispatchCall(
-    uint64_t interfaceId, uint16_t methodId,
-    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
-  switch (interfaceId) {
-    case 0xf7b871ba51fa9f42ull:
-      return dispatchCallInternal(methodId, context);
-    default:
-      return internalUnimplemented("session.capnp:Session", interfaceId);
-  }
-}
-::capnp::Capability::Server::DispatchCallResult Session::Server::dispatchCallInternal(
-    uint16_t methodId,
-    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
-  switch (methodId) {
-    case 0:
-      return {
-        report(::capnp::Capability::Server::internalGetTypedContext<
-             ::wagtail::session_wire::Session::ReportParams,  ::wagtail::session_wire::Session::ReportResults>(context)),
-        false
-      };
-    default:
-      (void)context;
-      return ::capnp::Capability::Server::internalUnimplemented(
-          "session.capnp:Session",
-          0xf7b871ba51fa9f42ull, methodId);
-  }
-}
-#endif  // !CAPNP_LITE
-
-// Session
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Session::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Session::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Session::ReportParams
-constexpr uint16_t Session::ReportParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Session::ReportParams::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Session::ReportParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Session::ReportParams::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Session::ReportResults
-constexpr uint16_t Session::ReportResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Session::ReportResults::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Session::ReportResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Session::ReportResults::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-::capnp::Request< ::wagtail::session_wire::Entry::JoinParams,  ::wagtail::session_wire::Entry::JoinResults>
-Entry::Client::joinRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::wagtail::session_wire::Entry::JoinParams,  ::wagtail::session_wire::Entry::JoinResults>(
-      0xd786b084cebe1fb7ull, 0, sizeHint);
-}
-::kj::Promise<void> Entry::Server::join(JoinContext) {
-  return ::capnp::Capability::Server::internalUnimplemented(
-      "session.capnp:Entry", "join",
-      0xd786b084cebe1fb7ull, 0);
-}
-::capnp::Capability::Server::DispatchCallResult Entry::Server::dispatchCall(
-    uint64_t interfaceId, uint16_t methodId,
-    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
-  switch (interfaceId) {
-    case 0xd786b084cebe1fb7ull:
-      return dispatchCallInternal(methodId, context);
-    default:
-      return internalUnimplemented("session.capnp:Entry", interfaceId);
-  }
-}
-::capnp::Capability::Server::DispatchCallResult Entry::Server::dispatchCallInternal(
-    uint16_t methodId,
-    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
-  switch (methodId) {
-    case 0:
-      return {
-        join(::capnp::Capability::Server::internalGetTypedContext<
-             ::wagtail::session_wire::Entry::JoinParams,  ::wagtail::session_wire::Entry::JoinResults>(context)),
-        false
-      };
-    default:
-      (void)context;
-      return ::capnp::Capability::Server::internalUnimplemented(
-          "session.capnp:Entry",
-          0xd786b084cebe1fb7ull, methodId);
-  }
-}
-#endif  // !CAPNP_LITE
-
-// Entry
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Entry::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Entry::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Entry::JoinParams
-constexpr uint16_t Entry::JoinParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Entry::JoinParams::_capnpPrivate::pointerCount;
+// ToEntry
+constexpr uint16_t ToEntry::_capnpPrivate::dataWordSize;
+constexpr uint16_t ToEntry::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Entry::JoinParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Entry::JoinParams::_capnpPrivate::schema;
+constexpr ::capnp::Kind ToEntry::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ToEntry::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Entry::JoinResults
-constexpr uint16_t Entry::JoinResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Entry::JoinResults::_capnpPrivate::pointerCount;
+// ToAgent
+constexpr uint16_t ToAgent::_capnpPrivate::dataWordSize;
+constexpr uint16_t ToAgent::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Entry::JoinResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Entry::JoinResults::_capnpPrivate::schema;
+constexpr ::capnp::Kind ToAgent::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ToAgent::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 
--- a/libraries/session/session.capnp.h
+++ b/libraries/session/session.capnp.h
@@ -5,9 +5,6 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
-#if !CAPNP_LITE
-#include <capnp/capability.h>
-#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
@@ -45,16 +42,8 @@
 CAPNP_DECLARE_SCHEMA(eceaf8ae5c2f8830);
 CAPNP_DECLARE_SCHEMA(93167701a35a145a);
 CAPNP_DECLARE_SCHEMA(8862af0c729479cd);
-CAPNP_DECLARE_SCHEMA(9b881a3e12e5f81a);
-CAPNP_DECLARE_SCHEMA(f99764cf6259ad22);
-CAPNP_DECLARE_SCHEMA(9b4197b5007ed88a);
-CAPNP_DECLARE_SCHEMA(c8547351ac670747);
-CAPNP_DECLARE_SCHEMA(f7b871ba51fa9f42);
-CAPNP_DECLARE_SCHEMA(a7667512d61d21f7);
-CAPNP_DECLARE_SCHEMA(c6aaaecc5368d9ae);
-CAPNP_DECLARE_SCHEMA(d786b084cebe1fb7);
-CAPNP_DECLARE_SCHEMA(cde5e86336ce46c6);
-CAPNP_DECLARE_SCHEMA(94a4551a1c1b6c38);
+CAPNP_DECLARE_SCHEMA(b5b27efa8584fbbb);
+CAPNP_DECLARE_SCHEMA(a7ede1c707704afd);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -179,7 +168,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93167701a35a145a, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(93167701a35a145a, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -201,162 +190,34 @@
   };
 };
 
-struct Reply {
-  Reply() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9b881a3e12e5f81a, 1, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Agent {
-  Agent() = delete;
-
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct OrderParams;
-  struct OrderResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(f99764cf6259ad22)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
-};
-
-struct Agent::OrderParams {
-  OrderParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9b4197b5007ed88a, 0, 3)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Agent::OrderResults {
-  OrderResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c8547351ac670747, 0, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Session {
-  Session() = delete;
-
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct ReportParams;
-  struct ReportResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(f7b871ba51fa9f42)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
-};
-
-struct Session::ReportParams {
-  ReportParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a7667512d61d21f7, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Session::ReportResults {
-  ReportResults() = delete;
+struct ToEntry {
+  ToEntry() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c6aaaecc5368d9ae, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Entry {
-  Entry() = delete;
-
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct JoinParams;
-  struct JoinResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(d786b084cebe1fb7)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  enum Which: uint16_t {
+    HELLO,
+    REPORT,
   };
-  #endif  // !CAPNP_LITE
-};
-
-struct Entry::JoinParams {
-  JoinParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cde5e86336ce46c6, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b5b27efa8584fbbb, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Entry::JoinResults {
-  JoinResults() = delete;
+struct ToAgent {
+  ToAgent() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94a4551a1c1b6c38, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a7ede1c707704afd, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1209,6 +1070,8 @@
   inline bool hasOtherEntries() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getOtherEntries() const;
 
+  inline  ::int64_t getSent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1269,6 +1132,9 @@
   inline void adoptOtherEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownOtherEntries();
 
+  inline  ::int64_t getSent();
+  inline void setSent( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1398,9 +1264,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Reply::Reader {
+class ToEntry::Reader {
 public:
-  typedef Reply Reads;
+  typedef ToEntry Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1415,13 +1281,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getPlanRevision() const;
-
-  inline bool hasPlan() const;
-  inline  ::wagtail::session_wire::Plan::Reader getPlan() const;
+  inline Which which() const;
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline  ::wagtail::session_wire::Hello::Reader getHello() const;
 
-  inline bool hasOtherEntries() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getOtherEntries() const;
+  inline bool isReport() const;
+  inline bool hasReport() const;
+  inline  ::wagtail::session_wire::Report::Reader getReport() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1435,9 +1302,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Reply::Builder {
+class ToEntry::Builder {
 public:
-  typedef Reply Builds;
+  typedef ToEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1451,23 +1318,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getPlanRevision();
-  inline void setPlanRevision( ::uint64_t value);
-
-  inline bool hasPlan();
-  inline  ::wagtail::session_wire::Plan::Builder getPlan();
-  inline void setPlan( ::wagtail::session_wire::Plan::Reader value);
-  inline  ::wagtail::session_wire::Plan::Builder initPlan();
-  inline void adoptPlan(::capnp::Orphan< ::wagtail::session_wire::Plan>&& value);
-  inline ::capnp::Orphan< ::wagtail::session_wire::Plan> disownPlan();
+  inline Which which();
+  inline bool isHello();
+  inline bool hasHello();
+  inline  ::wagtail::session_wire::Hello::Builder getHello();
+  inline void setHello( ::wagtail::session_wire::Hello::Reader value);
+  inline  ::wagtail::session_wire::Hello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::wagtail::session_wire::Hello>&& value);
+  inline ::capnp::Orphan< ::wagtail::session_wire::Hello> disownHello();
 
-  inline bool hasOtherEntries();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getOtherEntries();
-  inline void setOtherEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setOtherEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initOtherEntries(unsigned int size);
-  inline void adoptOtherEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownOtherEntries();
+  inline bool isReport();
+  inline bool hasReport();
+  inline  ::wagtail::session_wire::Report::Builder getReport();
+  inline void setReport( ::wagtail::session_wire::Report::Reader value);
+  inline  ::wagtail::session_wire::Report::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::wagtail::session_wire::Report>&& value);
+  inline ::capnp::Orphan< ::wagtail::session_wire::Report> disownReport();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1479,15 +1345,14 @@
 };
 
 #if !CAPNP_LITE
-class Reply::Pipeline {
+class ToEntry::Pipeline {
 public:
-  typedef Reply Pipelines;
+  typedef ToEntry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::wagtail::session_wire::Plan::Pipeline getPlan();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1496,62 +1361,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Agent::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Agent Calls;
-  typedef Agent Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::wagtail::session_wire::Agent::OrderParams,  ::wagtail::session_wire::Agent::OrderResults> orderRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Agent::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Agent Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::wagtail::session_wire::Agent::OrderParams OrderParams;
-  typedef  ::wagtail::session_wire::Agent::OrderResults OrderResults;
-  typedef ::capnp::CallContext<OrderParams, OrderResults> OrderContext;
-  virtual ::kj::Promise<void> order(OrderContext context);
-
-  inline  ::wagtail::session_wire::Agent::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::wagtail::session_wire::Agent>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Agent::OrderParams::Reader {
+class ToAgent::Reader {
 public:
-  typedef OrderParams Reads;
+  typedef ToAgent Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1566,15 +1378,22 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::int64_t getReportSent() const;
+
+  inline  ::uint64_t getPlanRevision() const;
+
+  inline bool hasPlan() const;
+  inline  ::wagtail::session_wire::Plan::Reader getPlan() const;
+
+  inline bool hasOtherEntries() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getOtherEntries() const;
+
   inline bool hasJobs() const;
   inline  ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>::Reader getJobs() const;
 
   inline bool hasStops() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getStops() const;
 
-  inline bool hasPlan() const;
-  inline  ::wagtail::session_wire::Plan::Reader getPlan() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1587,9 +1406,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::OrderParams::Builder {
+class ToAgent::Builder {
 public:
-  typedef OrderParams Builds;
+  typedef ToAgent Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1603,6 +1422,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::int64_t getReportSent();
+  inline void setReportSent( ::int64_t value);
+
+  inline  ::uint64_t getPlanRevision();
+  inline void setPlanRevision( ::uint64_t value);
+
+  inline bool hasPlan();
+  inline  ::wagtail::session_wire::Plan::Builder getPlan();
+  inline void setPlan( ::wagtail::session_wire::Plan::Reader value);
+  inline  ::wagtail::session_wire::Plan::Builder initPlan();
+  inline void adoptPlan(::capnp::Orphan< ::wagtail::session_wire::Plan>&& value);
+  inline ::capnp::Orphan< ::wagtail::session_wire::Plan> disownPlan();
+
+  inline bool hasOtherEntries();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getOtherEntries();
+  inline void setOtherEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setOtherEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initOtherEntries(unsigned int size);
+  inline void adoptOtherEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownOtherEntries();
+
   inline bool hasJobs();
   inline  ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>::Builder getJobs();
   inline void setJobs( ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>::Reader value);
@@ -1618,13 +1458,6 @@
   inline void adoptStops(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownStops();
 
-  inline bool hasPlan();
-  inline  ::wagtail::session_wire::Plan::Builder getPlan();
-  inline void setPlan( ::wagtail::session_wire::Plan::Reader value);
-  inline  ::wagtail::session_wire::Plan::Builder initPlan();
-  inline void adoptPlan(::capnp::Orphan< ::wagtail::session_wire::Plan>&& value);
-  inline ::capnp::Orphan< ::wagtail::session_wire::Plan> disownPlan();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1635,9 +1468,9 @@
 };
 
 #if !CAPNP_LITE
-class Agent::OrderParams::Pipeline {
+class ToAgent::Pipeline {
 public:
-  typedef OrderParams Pipelines;
+  typedef ToAgent Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1652,599 +1485,75 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::OrderResults::Reader {
-public:
-  typedef OrderResults Reads;
+// =======================================================================================
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+inline bool Queue::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Queue::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Queue::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Queue::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Queue::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Queue::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Queue::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Queue::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Agent::OrderResults::Builder {
-public:
-  typedef OrderResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Agent::OrderResults::Pipeline {
-public:
-  typedef OrderResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-class Session::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Session Calls;
-  typedef Session Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::wagtail::session_wire::Session::ReportParams,  ::wagtail::session_wire::Session::ReportResults> reportRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Session::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Session Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::wagtail::session_wire::Session::ReportParams ReportParams;
-  typedef  ::wagtail::session_wire::Session::ReportResults ReportResults;
-  typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
-  virtual ::kj::Promise<void> report(ReportContext context);
-
-  inline  ::wagtail::session_wire::Session::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::wagtail::session_wire::Session>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Session::ReportParams::Reader {
-public:
-  typedef ReportParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasReport() const;
-  inline  ::wagtail::session_wire::Report::Reader getReport() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Session::ReportParams::Builder {
-public:
-  typedef ReportParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasReport();
-  inline  ::wagtail::session_wire::Report::Builder getReport();
-  inline void setReport( ::wagtail::session_wire::Report::Reader value);
-  inline  ::wagtail::session_wire::Report::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::wagtail::session_wire::Report>&& value);
-  inline ::capnp::Orphan< ::wagtail::session_wire::Report> disownReport();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Session::ReportParams::Pipeline {
-public:
-  typedef ReportParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::wagtail::session_wire::Report::Pipeline getReport();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Session::ReportResults::Reader {
-public:
-  typedef ReportResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasReply() const;
-  inline  ::wagtail::session_wire::Reply::Reader getReply() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Session::ReportResults::Builder {
-public:
-  typedef ReportResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasReply();
-  inline  ::wagtail::session_wire::Reply::Builder getReply();
-  inline void setReply( ::wagtail::session_wire::Reply::Reader value);
-  inline  ::wagtail::session_wire::Reply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::wagtail::session_wire::Reply>&& value);
-  inline ::capnp::Orphan< ::wagtail::session_wire::Reply> disownReply();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Session::ReportResults::Pipeline {
-public:
-  typedef ReportResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::wagtail::session_wire::Reply::Pipeline getReply();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-class Entry::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Entry Calls;
-  typedef Entry Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::wagtail::session_wire::Entry::JoinParams,  ::wagtail::session_wire::Entry::JoinResults> joinRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Entry::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Entry Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::wagtail::session_wire::Entry::JoinParams JoinParams;
-  typedef  ::wagtail::session_wire::Entry::JoinResults JoinResults;
-  typedef ::capnp::CallContext<JoinParams, JoinResults> JoinContext;
-  virtual ::kj::Promise<void> join(JoinContext context);
-
-  inline  ::wagtail::session_wire::Entry::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::wagtail::session_wire::Entry>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Entry::JoinParams::Reader {
-public:
-  typedef JoinParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasHello() const;
-  inline  ::wagtail::session_wire::Hello::Reader getHello() const;
-
-  inline bool hasAgent() const;
-#if !CAPNP_LITE
-  inline  ::wagtail::session_wire::Agent::Client getAgent() const;
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Entry::JoinParams::Builder {
-public:
-  typedef JoinParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasHello();
-  inline  ::wagtail::session_wire::Hello::Builder getHello();
-  inline void setHello( ::wagtail::session_wire::Hello::Reader value);
-  inline  ::wagtail::session_wire::Hello::Builder initHello();
-  inline void adoptHello(::capnp::Orphan< ::wagtail::session_wire::Hello>&& value);
-  inline ::capnp::Orphan< ::wagtail::session_wire::Hello> disownHello();
-
-  inline bool hasAgent();
-#if !CAPNP_LITE
-  inline  ::wagtail::session_wire::Agent::Client getAgent();
-  inline void setAgent( ::wagtail::session_wire::Agent::Client&& value);
-  inline void setAgent( ::wagtail::session_wire::Agent::Client& value);
-  inline void adoptAgent(::capnp::Orphan< ::wagtail::session_wire::Agent>&& value);
-  inline ::capnp::Orphan< ::wagtail::session_wire::Agent> disownAgent();
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Entry::JoinParams::Pipeline {
-public:
-  typedef JoinParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::wagtail::session_wire::Hello::Pipeline getHello();
-  inline  ::wagtail::session_wire::Agent::Client getAgent();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Entry::JoinResults::Reader {
-public:
-  typedef JoinResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasSession() const;
-#if !CAPNP_LITE
-  inline  ::wagtail::session_wire::Session::Client getSession() const;
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Entry::JoinResults::Builder {
-public:
-  typedef JoinResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasSession();
-#if !CAPNP_LITE
-  inline  ::wagtail::session_wire::Session::Client getSession();
-  inline void setSession( ::wagtail::session_wire::Session::Client&& value);
-  inline void setSession( ::wagtail::session_wire::Session::Client& value);
-  inline void adoptSession(::capnp::Orphan< ::wagtail::session_wire::Session>&& value);
-  inline ::capnp::Orphan< ::wagtail::session_wire::Session> disownSession();
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Entry::JoinResults::Pipeline {
-public:
-  typedef JoinResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::wagtail::session_wire::Session::Client getSession();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-// =======================================================================================
-
-inline bool Queue::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Queue::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Queue::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Queue::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Queue::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Queue::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Queue::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Queue::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Queue::Reader::hasHost() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Queue::Builder::hasHost() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Queue::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Queue::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Queue::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Queue::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Queue::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Queue::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+inline bool Queue::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Queue::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Queue::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Queue::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Queue::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Queue::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Queue::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Queue::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
 
 inline bool Queue::Reader::hasPathPrefix() const {
   return !_reader.getPointerField(
@@ -3264,624 +2573,463 @@
   return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Report::Builder::adoptPlan(
-    ::capnp::Orphan< ::wagtail::session_wire::Plan>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::wagtail::session_wire::Plan> Report::Builder::disownPlan() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool Report::Reader::hasOtherEntries() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Report::Builder::hasOtherEntries() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Report::Reader::getOtherEntries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Report::Builder::getOtherEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Report::Builder::setOtherEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline void Report::Builder::setOtherEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Report::Builder::initOtherEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void Report::Builder::adoptOtherEntries(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Report::Builder::disownOtherEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline bool Hello::Reader::hasAgent() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Hello::Builder::hasAgent() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Hello::Reader::getAgent() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Hello::Builder::getAgent() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Hello::Builder::setAgent( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Hello::Builder::initAgent(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Hello::Builder::adoptAgent(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownAgent() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Hello::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Hello::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Hello::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Hello::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Hello::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Hello::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Hello::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool Hello::Reader::hasDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Hello::Builder::hasDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Hello::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Hello::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Hello::Builder::setDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Hello::Builder::initDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Hello::Builder::adoptDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Reply::Reader::getPlanRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Reply::Builder::getPlanRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Reply::Builder::setPlanRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Reply::Reader::hasPlan() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Reply::Builder::hasPlan() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::wagtail::session_wire::Plan::Reader Reply::Reader::getPlan() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::wagtail::session_wire::Plan::Builder Reply::Builder::getPlan() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::wagtail::session_wire::Plan::Pipeline Reply::Pipeline::getPlan() {
-  return  ::wagtail::session_wire::Plan::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Reply::Builder::setPlan( ::wagtail::session_wire::Plan::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::wagtail::session_wire::Plan::Builder Reply::Builder::initPlan() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Reply::Builder::adoptPlan(
+inline void Report::Builder::adoptPlan(
     ::capnp::Orphan< ::wagtail::session_wire::Plan>&& value) {
   ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::wagtail::session_wire::Plan> Reply::Builder::disownPlan() {
+inline ::capnp::Orphan< ::wagtail::session_wire::Plan> Report::Builder::disownPlan() {
   return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Reply::Reader::hasOtherEntries() const {
+inline bool Report::Reader::hasOtherEntries() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Reply::Builder::hasOtherEntries() {
+inline bool Report::Builder::hasOtherEntries() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Reply::Reader::getOtherEntries() const {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Report::Reader::getOtherEntries() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Reply::Builder::getOtherEntries() {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Report::Builder::getOtherEntries() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Reply::Builder::setOtherEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+inline void Report::Builder::setOtherEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void Reply::Builder::setOtherEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+inline void Report::Builder::setOtherEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Reply::Builder::initOtherEntries(unsigned int size) {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Report::Builder::initOtherEntries(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Reply::Builder::adoptOtherEntries(
+inline void Report::Builder::adoptOtherEntries(
     ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Reply::Builder::disownOtherEntries() {
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Report::Builder::disownOtherEntries() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-#if !CAPNP_LITE
-inline Agent::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Agent::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Agent::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Agent::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Agent::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::wagtail::session_wire::Agent::Client& Agent::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::wagtail::session_wire::Agent::Client& Agent::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline  ::int64_t Report::Reader::getSent() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-#endif  // !CAPNP_LITE
-inline bool Agent::OrderParams::Reader::hasJobs() const {
+inline  ::int64_t Report::Builder::getSent() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setSent( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::OrderParams::Builder::hasJobs() {
+inline bool Hello::Builder::hasAgent() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>::Reader Agent::OrderParams::Reader::getJobs() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Hello::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>::Builder Agent::OrderParams::Builder::getJobs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Hello::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::OrderParams::Builder::setJobs( ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Hello::Builder::setAgent( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>::Builder Agent::OrderParams::Builder::initJobs(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Hello::Builder::initAgent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Agent::OrderParams::Builder::adoptJobs(
-    ::capnp::Orphan< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Hello::Builder::adoptAgent(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>> Agent::OrderParams::Builder::disownJobs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::OrderParams::Reader::hasStops() const {
+inline bool Hello::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::OrderParams::Builder::hasStops() {
+inline bool Hello::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Agent::OrderParams::Reader::getStops() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Hello::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Agent::OrderParams::Builder::getStops() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Hello::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Agent::OrderParams::Builder::setStops( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void Agent::OrderParams::Builder::setStops(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void Hello::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Agent::OrderParams::Builder::initStops(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Hello::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Agent::OrderParams::Builder::adoptStops(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void Hello::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Agent::OrderParams::Builder::disownStops() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::OrderParams::Reader::hasPlan() const {
+inline bool Hello::Reader::hasDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::OrderParams::Builder::hasPlan() {
+inline bool Hello::Builder::hasDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::wagtail::session_wire::Plan::Reader Agent::OrderParams::Reader::getPlan() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Hello::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::wagtail::session_wire::Plan::Builder Agent::OrderParams::Builder::getPlan() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Hello::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::wagtail::session_wire::Plan::Pipeline Agent::OrderParams::Pipeline::getPlan() {
-  return  ::wagtail::session_wire::Plan::Pipeline(_typeless.getPointerField(2));
-}
-#endif  // !CAPNP_LITE
-inline void Agent::OrderParams::Builder::setPlan( ::wagtail::session_wire::Plan::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::set(_builder.getPointerField(
+inline void Hello::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::wagtail::session_wire::Plan::Builder Agent::OrderParams::Builder::initPlan() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Hello::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Agent::OrderParams::Builder::adoptPlan(
-    ::capnp::Orphan< ::wagtail::session_wire::Plan>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::adopt(_builder.getPointerField(
+inline void Hello::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::wagtail::session_wire::Plan> Agent::OrderParams::Builder::disownPlan() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-#if !CAPNP_LITE
-inline Session::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Session::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Session::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Session::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Session::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::wagtail::session_wire::Session::Client& Session::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::wagtail::session_wire::Session::Client& Session::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline  ::wagtail::session_wire::ToEntry::Which ToEntry::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::wagtail::session_wire::ToEntry::Which ToEntry::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-#endif  // !CAPNP_LITE
-inline bool Session::ReportParams::Reader::hasReport() const {
+inline bool ToEntry::Reader::isHello() const {
+  return which() == ToEntry::HELLO;
+}
+inline bool ToEntry::Builder::isHello() {
+  return which() == ToEntry::HELLO;
+}
+inline bool ToEntry::Reader::hasHello() const {
+  if (which() != ToEntry::HELLO) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Session::ReportParams::Builder::hasReport() {
+inline bool ToEntry::Builder::hasHello() {
+  if (which() != ToEntry::HELLO) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::wagtail::session_wire::Report::Reader Session::ReportParams::Reader::getReport() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::get(_reader.getPointerField(
+inline  ::wagtail::session_wire::Hello::Reader ToEntry::Reader::getHello() const {
+  KJ_IREQUIRE((which() == ToEntry::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::wagtail::session_wire::Report::Builder Session::ReportParams::Builder::getReport() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::get(_builder.getPointerField(
+inline  ::wagtail::session_wire::Hello::Builder ToEntry::Builder::getHello() {
+  KJ_IREQUIRE((which() == ToEntry::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::wagtail::session_wire::Report::Pipeline Session::ReportParams::Pipeline::getReport() {
-  return  ::wagtail::session_wire::Report::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Session::ReportParams::Builder::setReport( ::wagtail::session_wire::Report::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::set(_builder.getPointerField(
+inline void ToEntry::Builder::setHello( ::wagtail::session_wire::Hello::Reader value) {
+  _builder.setDataField<ToEntry::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToEntry::HELLO);
+  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::wagtail::session_wire::Report::Builder Session::ReportParams::Builder::initReport() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::init(_builder.getPointerField(
+inline  ::wagtail::session_wire::Hello::Builder ToEntry::Builder::initHello() {
+  _builder.setDataField<ToEntry::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToEntry::HELLO);
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Session::ReportParams::Builder::adoptReport(
-    ::capnp::Orphan< ::wagtail::session_wire::Report>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::adopt(_builder.getPointerField(
+inline void ToEntry::Builder::adoptHello(
+    ::capnp::Orphan< ::wagtail::session_wire::Hello>&& value) {
+  _builder.setDataField<ToEntry::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToEntry::HELLO);
+  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::wagtail::session_wire::Report> Session::ReportParams::Builder::disownReport() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::wagtail::session_wire::Hello> ToEntry::Builder::disownHello() {
+  KJ_IREQUIRE((which() == ToEntry::HELLO),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Session::ReportResults::Reader::hasReply() const {
+inline bool ToEntry::Reader::isReport() const {
+  return which() == ToEntry::REPORT;
+}
+inline bool ToEntry::Builder::isReport() {
+  return which() == ToEntry::REPORT;
+}
+inline bool ToEntry::Reader::hasReport() const {
+  if (which() != ToEntry::REPORT) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Session::ReportResults::Builder::hasReply() {
+inline bool ToEntry::Builder::hasReport() {
+  if (which() != ToEntry::REPORT) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::wagtail::session_wire::Reply::Reader Session::ReportResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Reply>::get(_reader.getPointerField(
+inline  ::wagtail::session_wire::Report::Reader ToEntry::Reader::getReport() const {
+  KJ_IREQUIRE((which() == ToEntry::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::wagtail::session_wire::Reply::Builder Session::ReportResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Reply>::get(_builder.getPointerField(
+inline  ::wagtail::session_wire::Report::Builder ToEntry::Builder::getReport() {
+  KJ_IREQUIRE((which() == ToEntry::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::wagtail::session_wire::Reply::Pipeline Session::ReportResults::Pipeline::getReply() {
-  return  ::wagtail::session_wire::Reply::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Session::ReportResults::Builder::setReply( ::wagtail::session_wire::Reply::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Reply>::set(_builder.getPointerField(
+inline void ToEntry::Builder::setReport( ::wagtail::session_wire::Report::Reader value) {
+  _builder.setDataField<ToEntry::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToEntry::REPORT);
+  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::wagtail::session_wire::Reply::Builder Session::ReportResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Reply>::init(_builder.getPointerField(
+inline  ::wagtail::session_wire::Report::Builder ToEntry::Builder::initReport() {
+  _builder.setDataField<ToEntry::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToEntry::REPORT);
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Session::ReportResults::Builder::adoptReply(
-    ::capnp::Orphan< ::wagtail::session_wire::Reply>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Reply>::adopt(_builder.getPointerField(
+inline void ToEntry::Builder::adoptReport(
+    ::capnp::Orphan< ::wagtail::session_wire::Report>&& value) {
+  _builder.setDataField<ToEntry::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToEntry::REPORT);
+  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::wagtail::session_wire::Reply> Session::ReportResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Reply>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::wagtail::session_wire::Report> ToEntry::Builder::disownReport() {
+  KJ_IREQUIRE((which() == ToEntry::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Report>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-#if !CAPNP_LITE
-inline Entry::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Entry::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Entry::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Entry::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Entry::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::wagtail::session_wire::Entry::Client& Entry::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::wagtail::session_wire::Entry::Client& Entry::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline  ::int64_t ToAgent::Reader::getReportSent() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-#endif  // !CAPNP_LITE
-inline bool Entry::JoinParams::Reader::hasHello() const {
+inline  ::int64_t ToAgent::Builder::getReportSent() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ToAgent::Builder::setReportSent( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ToAgent::Reader::getPlanRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ToAgent::Builder::getPlanRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ToAgent::Builder::setPlanRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ToAgent::Reader::hasPlan() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Entry::JoinParams::Builder::hasHello() {
+inline bool ToAgent::Builder::hasPlan() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::wagtail::session_wire::Hello::Reader Entry::JoinParams::Reader::getHello() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::get(_reader.getPointerField(
+inline  ::wagtail::session_wire::Plan::Reader ToAgent::Reader::getPlan() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::wagtail::session_wire::Hello::Builder Entry::JoinParams::Builder::getHello() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::get(_builder.getPointerField(
+inline  ::wagtail::session_wire::Plan::Builder ToAgent::Builder::getPlan() {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::wagtail::session_wire::Hello::Pipeline Entry::JoinParams::Pipeline::getHello() {
-  return  ::wagtail::session_wire::Hello::Pipeline(_typeless.getPointerField(0));
+inline  ::wagtail::session_wire::Plan::Pipeline ToAgent::Pipeline::getPlan() {
+  return  ::wagtail::session_wire::Plan::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Entry::JoinParams::Builder::setHello( ::wagtail::session_wire::Hello::Reader value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::set(_builder.getPointerField(
+inline void ToAgent::Builder::setPlan( ::wagtail::session_wire::Plan::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::wagtail::session_wire::Hello::Builder Entry::JoinParams::Builder::initHello() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::init(_builder.getPointerField(
+inline  ::wagtail::session_wire::Plan::Builder ToAgent::Builder::initPlan() {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Entry::JoinParams::Builder::adoptHello(
-    ::capnp::Orphan< ::wagtail::session_wire::Hello>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::adopt(_builder.getPointerField(
+inline void ToAgent::Builder::adoptPlan(
+    ::capnp::Orphan< ::wagtail::session_wire::Plan>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::wagtail::session_wire::Hello> Entry::JoinParams::Builder::disownHello() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Hello>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::wagtail::session_wire::Plan> ToAgent::Builder::disownPlan() {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Plan>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Entry::JoinParams::Reader::hasAgent() const {
+inline bool ToAgent::Reader::hasOtherEntries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Entry::JoinParams::Builder::hasAgent() {
+inline bool ToAgent::Builder::hasOtherEntries() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-#if !CAPNP_LITE
-inline  ::wagtail::session_wire::Agent::Client Entry::JoinParams::Reader::getAgent() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Agent>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ToAgent::Reader::getOtherEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::wagtail::session_wire::Agent::Client Entry::JoinParams::Builder::getAgent() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Agent>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ToAgent::Builder::getOtherEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::wagtail::session_wire::Agent::Client Entry::JoinParams::Pipeline::getAgent() {
-  return  ::wagtail::session_wire::Agent::Client(_typeless.getPointerField(1).asCap());
+inline void ToAgent::Builder::setOtherEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Entry::JoinParams::Builder::setAgent( ::wagtail::session_wire::Agent::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Agent>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+inline void ToAgent::Builder::setOtherEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Entry::JoinParams::Builder::setAgent( ::wagtail::session_wire::Agent::Client& cap) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Agent>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ToAgent::Builder::initOtherEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Entry::JoinParams::Builder::adoptAgent(
-    ::capnp::Orphan< ::wagtail::session_wire::Agent>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Agent>::adopt(_builder.getPointerField(
+inline void ToAgent::Builder::adoptOtherEntries(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::wagtail::session_wire::Agent> Entry::JoinParams::Builder::disownAgent() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Agent>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ToAgent::Builder::disownOtherEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
 
-inline bool Entry::JoinResults::Reader::hasSession() const {
+inline bool ToAgent::Reader::hasJobs() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Entry::JoinResults::Builder::hasSession() {
+inline bool ToAgent::Builder::hasJobs() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-#if !CAPNP_LITE
-inline  ::wagtail::session_wire::Session::Client Entry::JoinResults::Reader::getSession() const {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Session>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>::Reader ToAgent::Reader::getJobs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::wagtail::session_wire::Session::Client Entry::JoinResults::Builder::getSession() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Session>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>::Builder ToAgent::Builder::getJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::wagtail::session_wire::Session::Client Entry::JoinResults::Pipeline::getSession() {
-  return  ::wagtail::session_wire::Session::Client(_typeless.getPointerField(0).asCap());
+inline void ToAgent::Builder::setJobs( ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void Entry::JoinResults::Builder::setSession( ::wagtail::session_wire::Session::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Session>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+inline  ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>::Builder ToAgent::Builder::initJobs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Entry::JoinResults::Builder::setSession( ::wagtail::session_wire::Session::Client& cap) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Session>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+inline void ToAgent::Builder::adoptJobs(
+    ::capnp::Orphan< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Entry::JoinResults::Builder::adoptSession(
-    ::capnp::Orphan< ::wagtail::session_wire::Session>&& value) {
-  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Session>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>> ToAgent::Builder::disownJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::wagtail::session_wire::JobOrder,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::wagtail::session_wire::Session> Entry::JoinResults::Builder::disownSession() {
-  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Session>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool ToAgent::Reader::hasStops() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ToAgent::Builder::hasStops() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ToAgent::Reader::getStops() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ToAgent::Builder::getStops() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ToAgent::Builder::setStops( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void ToAgent::Builder::setStops(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ToAgent::Builder::initStops(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ToAgent::Builder::adoptStops(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ToAgent::Builder::disownStops() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
 
 }  // namespace
 }  // namespace
--- a/libraries/session/session_codec.h
+++ b/libraries/session/session_codec.h
@@ -11,8 +11,7 @@
 
 /// @file
 /// Turns the messages between entries and agents into the values that decisions are made on, and
-/// back. Readers throw kj::Exception on malformed messages; the RPC system turns that into a failed
-/// call.
+/// back. Readers throw kj::Exception on malformed messages, which ends their connection.
 
 namespace wagtail::leased {
 
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -75,7 +75,7 @@
   control_server_.reset();
   metrics_server_.reset();
   loop_.Stop([this] {
-    agent_server_.reset();
+    agent_listener_.reset();
     sessions_.reset();
     plan_follower_.reset();
     store_.reset();
@@ -113,11 +113,10 @@
 }
 
 absl::Status dispatch_service::ListenForAgents() {
-  return rpc_server::Listen(loop_, settings_.SessionAddress(settings_.ip),
-                            [this](kj::Own<kj::ConnectionReceiver> receiver) {
-                              agent_server_ = std::make_unique<rpc_server>(kj::mv(receiver),
-                                                                           sessions_->Bootstrap());
-                            });
+  return connection_listener::Listen(
+      loop_, settings_.SessionAddress(settings_.ip),
+      [this](kj::Own<kj::AsyncIoStream> connection) { sessions_->Accept(kj::mv(connection)); },
+      agent_listener_);
 }
 
 void dispatch_service::MakeBoard() {
@@ -161,7 +160,7 @@
   hooks.after_message = [this] { Changed(); };
   hooks.plan = [this]() -> const operating_plan& { return plan_.get(); };
   hooks.newer_plan = [this](operating_plan plan) { TakePlan(std::move(plan)); };
-  hooks.entries = [this] { return KnownEntries(); };
+  hooks.entries = [this]() -> const std::vector<std::string>& { return known_entries_; };
   hooks.heard_of_entry = [this](const std::string& entry) { HeardOf(entry); };
   sessions_ = std::make_unique<agent_sessions>(loop_, std::move(hooks));
 }
@@ -188,11 +187,15 @@
     first_plan_.Open();
   }
   board_->Plan(taken);
-  sessions_->SendPlan(taken);
+  sessions_->SendPlan();
   Changed();
 }
 
-void dispatch_service::HeardOf(const std::string& entry) { entries_[entry] = BootTimeNow(); }
+void dispatch_service::HeardOf(const std::string& entry) {
+  if (entries_.insert_or_assign(entry, BootTimeNow()).second) {
+    known_entries_ = KnownEntries();
+  }
+}
 
 std::vector<std::string> dispatch_service::KnownEntries() const {
   std::vector<std::string> known;
@@ -224,6 +227,7 @@
     backlog_.Taken(now - next_tick_, now);
   }
   load_watch_.Tell(now, refused_busy_);
+  known_entries_ = KnownEntries();
   for (session_id session : board_->TakeSilent(now)) {
     sessions_->Close(session);
   }
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -15,8 +15,8 @@
 #include "plan/newest_plan.h"
 #include "platform/node_settings.h"
 #include "platform/store_client.h"
+#include "rpc/connection_listener.h"
 #include "rpc/event_loop.h"
-#include "rpc/rpc_server.h"
 #include "services/dispatchd/caller_wait.h"
 #include "services/dispatchd/first_plan_gate.h"
 #include "services/dispatchd/front_filters.h"
@@ -91,12 +91,13 @@
   newest_plan plan_;
   std::unique_ptr<job_board> board_;
   std::unique_ptr<agent_sessions> sessions_;
-  std::unique_ptr<rpc_server> agent_server_;
+  std::unique_ptr<connection_listener> agent_listener_;
   std::unique_ptr<platform::store_client> store_;
   std::unique_ptr<table_follower> plan_follower_;
   std::vector<arrival> arrivals_;
   std::unordered_map<job_serial, std::shared_ptr<caller_wait>> waiting_;
-  std::map<std::string, instant> entries_;  ///< when an agent last named each
+  std::map<std::string, instant> entries_;    ///< when an agent last named each
+  std::vector<std::string> known_entries_{};  ///< those that were named not long ago
   bool turn_posted_ = false;
   // Threads of their own; ended first.
   std::unique_ptr<http_server> front_server_;
--- a/tests/session/session_loopback_test.cc
+++ b/tests/session/session_loopback_test.cc
@@ -2,7 +2,7 @@
 #include <chrono>
 #include <thread>
 
-#include "rpc/rpc_server.h"
+#include "rpc/connection_listener.h"
 #include "session/agent_sessions.h"
 #include "session/entry_links.h"
 
@@ -34,9 +34,14 @@
   std::vector<std::string> heard{};
   unsigned reports = 0;
   std::unique_ptr<agent_sessions> sessions{};
-  std::unique_ptr<rpc_server> server{};
+  std::unique_ptr<connection_listener> server{};
   std::string address{};
 
+  void Flush() const {
+    if (sessions != nullptr) {
+      sessions->Flush();
+    }
+  }
   void Listen(event_loop& loop) {
     agent_sessions::hooks hooks;
     hooks.now = BootTimeNow;
@@ -44,15 +49,16 @@
     hooks.reported = [this](session_id, const session_report&) { ++reports; };
     hooks.result = [this](const run_result& result) { results.push_back(result); };
     hooks.closed = [this](session_id session) { closed.push_back(session); };
-    hooks.after_message = [] {};
+    hooks.after_message = [this, &loop] { loop.After(duration::zero(), [this] { Flush(); }); };
     hooks.plan = [this]() -> const operating_plan& { return plan; };
     hooks.newer_plan = [this](operating_plan newer) { plan = std::move(newer); };
-    hooks.entries = [this] { return heard; };
+    hooks.entries = [this]() -> const std::vector<std::string>& { return heard; };
     hooks.heard_of_entry = [this](const std::string& entry) { heard.push_back(entry); };
     loop.Run([&] { sessions = std::make_unique<agent_sessions>(loop, hooks); });
-    CHECK(rpc_server::Listen(loop, "127.0.0.1:0", [this](kj::Own<kj::ConnectionReceiver> receiver) {
-            server = std::make_unique<rpc_server>(kj::mv(receiver), sessions->Bootstrap());
-          }).ok());
+    auto accept = [this](kj::Own<kj::AsyncIoStream> connection) {
+      sessions->Accept(kj::mv(connection));
+    };
+    CHECK(connection_listener::Listen(loop, "127.0.0.1:0", accept, server).ok());
     loop.Run([&] { address = "127.0.0.1:" + std::to_string(server->port()); });
   }
 };
@@ -144,7 +150,8 @@
   CHECK(Until([this] { return entry.plan.revision == 5; }));
   loop->Run([this] {
     entry.plan.revision = 8;
-    entry.sessions->SendPlan(entry.plan);
+    entry.sessions->SendPlan();
+    entry.sessions->Flush();
   });
   CHECK(Until([this] { return agent.plan.revision == 8; }));
 }
