An entry that stays behind leaves the balancer's rotation until its load fits

What callers saw: refusals at small entries while others were idle. Cause: the balancer spreads callers of a domain over its entries without regard to their processors, and callers stay with their connections.

entry_rotation averages over 2 s whether the loop is behind: from 15% on the entry says that it is not ready, and every fourth answer ends its connection; it comes back below 3%. Both entries of a domain may be out: then callers come to the nearest domains.

--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -99,7 +99,7 @@
       settings_.ready, [this](const http_request& /*request*/) { return AnswerReady(); }));
   front_server_ = TRY(platform::ServeAt(settings_.front, [this](const http_request& request) {
     http_response response = RunFrontFilters(filters_, request);
-    if (closing_) {
+    if (ClosesConnection()) {
       response.headers["connection"] = "close";
     }
     return response;
@@ -222,12 +222,29 @@
   });
 }
 
+void dispatch_service::KeepRotation(instant now) {
+  rotation_.Observe(backlog_.IsOver(now), now);
+  if (rotation_.IsOut() != out_of_rotation_) {
+    out_of_rotation_ = rotation_.IsOut();
+    LogFact(log_level::kWarning, rotation_.IsOut() ? "rotation_left" : "rotation_joined");
+  }
+}
+
+bool dispatch_service::ClosesConnection() {
+  if (closing_) {
+    return true;
+  }
+  constexpr unsigned kPerClose = entry_rotation::options{}.answers_per_close;
+  return out_of_rotation_ && ++answers_out_ % kPerClose == 0;
+}
+
 void dispatch_service::Tick() {
   instant now = BootTimeNow();
   if (next_tick_ != instant{}) {
     load_watch_.Ticked(now - next_tick_);
     backlog_.Taken(now - next_tick_, now);
   }
+  KeepRotation(now);
   load_watch_.Tell(now, refused_busy_);
   known_entries_ = KnownEntries();
   for (session_id session : board_->TakeSilent(now)) {
@@ -381,7 +398,7 @@
 }
 
 http_response dispatch_service::AnswerReady() const {
-  bool ready = HasPlan() && targets_in_use_ > 0 && !leaving_;
+  bool ready = HasPlan() && targets_in_use_ > 0 && !leaving_ && !out_of_rotation_;
   return {.status = ready ? kOk : kUnavailable, .headers = {}, .body = "{}"};
 }
 
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "board/entry_rotation.h"
 #include "board/job_board.h"
 #include "board/loop_backlog.h"
 #include "http/http_server.h"
@@ -58,6 +59,9 @@
   void MakeSessions();
   void FollowStore();
   void Tick();
+  void KeepRotation(instant now);
+  /// @return whether the answer that is about to leave ends its caller's connection
+  bool ClosesConnection();
   void TakePlan(operating_plan plan);
   void Changed();
   void HeardOf(const std::string& entry);
@@ -88,6 +92,8 @@
   std::atomic<job_serial> next_serial_ = 1;
   std::atomic<uint64_t> refused_busy_ = 0;  ///< requests refused for the loop's backlog
   loop_backlog backlog_{{}};
+  std::atomic<bool> out_of_rotation_ = false;
+  std::atomic<unsigned> answers_out_ = 0;  ///< given while out of the rotation
   std::vector<front_filter> filters_;
   event_loop loop_;
   // What follows is used on the loop's thread only.
@@ -99,6 +105,7 @@
   std::unique_ptr<connection_listener> agent_listener_;
   std::unique_ptr<platform::store_client> store_;
   std::unique_ptr<table_follower> plan_follower_;
+  entry_rotation rotation_{{}};
   std::vector<arrival> arrivals_;
   std::unordered_map<job_serial, std::shared_ptr<caller_wait>> waiting_;
   std::map<std::string, instant> entries_;    ///< when an agent last named each
