--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -76,11 +76,8 @@
   return open;
 }
 
-void entry_links::Dial(link& target) {
-  target.dialing = true;
-  uint64_t attempt = ++target.attempt;
-  auto owner = alive_;
-  auto current = [owner, attempt, address = target.address]() -> link* {
+std::function<entry_links::link*()> entry_links::WhileCurrent(const link& target) const {
+  return [owner = alive_, attempt = target.attempt, address = target.address]() -> link* {
     if (*owner == nullptr) {
       return nullptr;
     }
@@ -88,6 +85,12 @@
     bool valid = found != (*owner)->links_.end() && found->second->attempt == attempt;
     return valid ? found->second.get() : nullptr;
   };
+}
+
+void entry_links::Dial(link& target) {
+  target.dialing = true;
+  ++target.attempt;
+  std::function<link*()> current = WhileCurrent(target);
   auto connected = loop_.provider()
                        .getNetwork()
                        .parseAddress(target.address)
@@ -98,16 +101,16 @@
   duration patience = target.pace.Begin(hooks_.now());
   auto connecting = loop_.timer()
                         .timeoutAfter(patience.count() * kj::MICROSECONDS, kj::mv(connected))
-                        .then([owner, current](kj::Own<kj::AsyncIoStream> connection) {
+                        .then([this, current](kj::Own<kj::AsyncIoStream> connection) {
                           link* each = current();
                           if (each != nullptr) {
-                            (*owner)->Connected(*each, kj::mv(connection));
+                            Connected(*each, kj::mv(connection));
                           }
                         });
-  auto failed = [owner, current](const std::string& why) {
+  auto failed = [this, current](const std::string& why) {
     link* each = current();
     if (each != nullptr) {
-      (*owner)->Drop(*each, why);
+      Drop(*each, why);
     }
   };
   loop_.Detach(kj::mv(connecting),
@@ -121,11 +124,7 @@
 }
 
 void entry_links::Connected(link& target, kj::Own<kj::AsyncIoStream> connection) {
-  auto current = [this, attempt = target.attempt, address = target.address]() -> link* {
-    auto found = links_.find(address);
-    bool valid = found != links_.end() && found->second->attempt == attempt;
-    return valid ? found->second.get() : nullptr;
-  };
+  std::function<link*()> current = WhileCurrent(target);
   target.stream =
       message_stream::Open(loop_, kj::mv(connection),
                            {.message =
--- a/libraries/session/entry_links.h
+++ b/libraries/session/entry_links.h
@@ -89,6 +89,8 @@
   bool SendsOrders(const link& target, instant now) const;
   bool IsDue(const link& target, const target_status& load, instant now) const;
 
+  /// @return for callbacks of this connection: the link, or null once it has another or is gone
+  std::function<link*()> WhileCurrent(const link& target) const;
   void Dial(link& target);
   void Connected(link& target, kj::Own<kj::AsyncIoStream> connection);
   void Joined(link& target);
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -31,8 +31,6 @@
 constexpr duration kAnswerGrace = std::chrono::seconds(2);
 constexpr std::array kAnswerSecondsBounds = {0.01, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0};
 
-/// A caller is not looked for if its request came no longer ago than this.
-constexpr duration kFreshRequest = std::chrono::milliseconds(5);
 constexpr duration kStopPoll = std::chrono::milliseconds(20);
 
 void SleepUntil(instant end) {
@@ -303,8 +301,7 @@
   job_serial serial = next_serial_++;
   duration deadline = request.submission.deadline;
   instant arrived = BootTimeNow();
-  // The first line of most jobs is `tasks_ordered`: a line takes a twentieth of a job's processor
-  // time.
+  // The first line of most jobs is `tasks_ordered`: one more takes a twentieth of a job's time.
   LogFact(log_level::kDebug, "job_arrived",
           {{"job", request.job},
            {"queue", request.queue.name},
@@ -339,9 +336,10 @@
     instant now = BootTimeNow();
     duration queued = now - each.arrived;
     backlog_.Taken(queued, now);
-    // After a freeze of this process a request may be older than its caller's patience. Its caller
-    // sends the job again, perhaps to another entry: it must not be started here as well.
-    if (queued > kFreshRequest && IsCallerGone(each.socket)) {
+    // After a freeze of this process a request may be older than its caller's patience, also one
+    // that was read only now. Its caller sends the job again, perhaps to another entry: it must not
+    // be started here as well.
+    if (IsCallerGone(each.socket)) {
       each.wait->Answer({.outcome = job_outcome::kCancelled, .reason = "caller_gone_before"});
       continue;
     }
