A test for the rotation: callers of small entries get to one that has time

Callers in the play may keep connections now, as callers of the platform do, and the balancer leads new ones to ready entries of their failure domain first. Seen to fail with the rotation switched off.

--- a/tests/load/load_test.cc
+++ b/tests/load/load_test.cc
@@ -20,6 +20,8 @@
 
 /// What an entry out of processor time serves in time, of what its processor carries.
 constexpr double kLeastServedInOverload = 0.9;
+/// What is in time once callers had some seconds to move to an entry that has time.
+constexpr double kLeastInTimeOnceMoved = 0.93;
 /// Share of the jobs that several queues in place of one may make late.
 constexpr double kMostLostToSharing = 0.1;
 
@@ -67,7 +69,7 @@
                                 .slow_every = kNoneButTheFirst,
                                 .estimate_error = 0.1,
                                 .length = std::chrono::seconds(8)};
-  settings.first_entry_share = 0.1;
+  settings.small_entry_share = 0.1;
   settings.kinds = {
       {.name = "wide", .tasks = 8, .task_time = Ms(60), .cpu = 6200, .per_second = 0.25},
       {.name = "pair", .tasks = 2, .task_time = Ms(200), .cpu = 6200, .per_second = 0.75}};
@@ -94,7 +96,7 @@
 /// @return what it serves in time, of what it can beside refusing the rest
 double PartServedInTime(double times, double carried) {
   load_world::settings settings = SmallEntry(times * carried);
-  double refusal = ToSeconds(settings.costs.request) / *settings.first_entry_share;
+  double refusal = ToSeconds(settings.costs.request) / *settings.small_entry_share;
   double in_time = Play(settings).Sum().in_time / ToSeconds(settings.length) / kSeeds;
   double possible = std::min(carried, (1 - times * carried * refusal) / (1 / carried - refusal));
   std::printf("%.1f times the %.1f jobs a second carried: %.1f in time, %.1f possible\n", times,
@@ -197,4 +199,26 @@
   CHECK(PartServedInTime(1, CarriedBySmallEntry()) >= kLeastServedInOverload);
 }
 
+// Incident SHORT: callers stay with their connections, so an entry without time lets go of some
+// while another has time for them.
+TEST(Load, AnEntryOutOfProcessorTimeHandsItsCallersToOneThatHasTime) {
+  constexpr double kTimes = 2;
+  constexpr unsigned kSmallEntries = 2;
+  load_world::settings settings = SmallEntry(kSmallEntries * kTimes * CarriedBySmallEntry());
+  settings.small_entries = kSmallEntries;
+  settings.entries = kSmallEntries + 1;
+  settings.targets = 72;
+  settings.connections = 80;
+  load_result after;
+  for (settings.seed = 1; settings.seed <= kSeeds; ++settings.seed) {
+    load_world world(settings);
+    const std::vector<load_result>& seconds = world.Run().seconds;
+    std::for_each(seconds.begin() + 4, seconds.end(),
+                  [&after](const load_result& second) { after += second; });
+  }
+  std::printf("from the fifth second on: %u jobs, %u in time, %u refused\n", after.handed_in,
+              after.in_time, after.refused);
+  CHECK(after.InTimeShare() >= kLeastInTimeOnceMoved);
+}
+
 }  // namespace wagtail::leased
--- a/tests/load/load_world.cc
+++ b/tests/load/load_world.cc
@@ -22,6 +22,7 @@
 constexpr duration kAllowance = std::chrono::milliseconds(60);
 constexpr double kLateLimit = 3;
 constexpr double kSlow = 2;
+constexpr const char* kBusy = "busy";
 /// Longer than any caller waits.
 constexpr duration kStandstill = std::chrono::seconds(20);
 
@@ -53,12 +54,16 @@
 }
 
 struct load_world::entry_node {
+  explicit entry_node(const entry_rotation::options& options) : rotation(options) {}
+
   std::unique_ptr<job_board> board;
   std::vector<order_batch> orders;
   std::vector<std::pair<session_id, uint64_t>> withdrawn;
   job_serial next_serial = 1;
   std::map<job_serial, caller*> callers;
   loop_backlog backlog{{}};
+  entry_rotation rotation;
+  unsigned answers_out = 0;     ///< given while out of the rotation
   std::optional<double> share;  ///< of a core; nothing if processor time is not counted
   instant idle_from{};          ///< when its processor has done all that it has to
 };
@@ -87,6 +92,7 @@
   instant handed_in;
   duration task_time{0};
   double work_done = 0;  ///< core-seconds
+  std::optional<size_t> connection{};
   bool answered = false;
 };
 
@@ -97,10 +103,14 @@
       begin_(time_.now()) {
   findings_.seconds.resize(static_cast<size_t>(ToSeconds(settings_.length)) + 1);
   for (unsigned number = 0; number < settings_.entries; ++number) {
-    entries_.push_back(std::make_unique<entry_node>());
-    entries_.back()->share = number == 0 ? settings_.first_entry_share : std::nullopt;
+    entries_.push_back(std::make_unique<entry_node>(settings_.rotation));
+    entries_.back()->share =
+        number < settings_.small_entries ? settings_.small_entry_share : std::nullopt;
     StartEntry(*entries_.back());
   }
+  for (unsigned number = 0; number < settings_.connections; ++number) {
+    connections_.push_back(entries_[number % settings_.small_entries].get());
+  }
   for (unsigned number = 0; number < settings_.targets; ++number) {
     agents_.push_back(std::make_unique<agent_node>());
     StartAgent(*agents_.back(), number);
@@ -145,6 +155,11 @@
   auto found = entry.callers.find(serial);
   caller* who = found->second;
   entry.callers.erase(found);
+  bool lets_go =
+      entry.rotation.IsOut() && ++entry.answers_out % settings_.rotation.answers_per_close == 0;
+  if (lets_go || answer.reason == kBusy) {
+    EndConnection(*who);
+  }
   time_.At(entry.idle_from, [this, who, answer] { Answered(*who, answer); });
 }
 
@@ -152,6 +167,7 @@
   OnProcessor(entry, duration::zero(), [this, &entry, due = time_.now()] {
     entry.backlog.Taken(time_.now() - due, time_.now());
     entry.backlog.TimerSet(time_.now() + kEntryTick);
+    entry.rotation.Observe(entry.backlog.IsOver(time_.now()), time_.now());
     entry.board->Tick(time_.now());
     Place(entry);
     time_.After(kEntryTick, [this, &entry] { TickEntry(entry); });
@@ -358,6 +374,24 @@
   return *entries_[choice(arrivals_)];
 }
 
+load_world::entry_node& load_world::EntryForConnection() {
+  std::vector<entry_node*> near;
+  std::vector<entry_node*> far;
+  for (const auto& entry : entries_) {
+    if (!entry->rotation.IsOut()) {
+      (entry->share.has_value() ? near : far).push_back(entry.get());
+    }
+  }
+  const std::vector<entry_node*>& ready = near.empty() ? far : near;
+  return ready.empty() ? AnyEntry() : *ready[arrivals_() % ready.size()];
+}
+
+void load_world::EndConnection(const caller& who) {
+  if (who.connection.has_value()) {
+    connections_[*who.connection] = &EntryForConnection();
+  }
+}
+
 void load_world::HandIn(const load_kind& kind) {
   auto who = std::make_unique<caller>();
   who->kind = &kind;
@@ -376,14 +410,17 @@
                                        .room = {.cpu = kind.cpu, .mem_mb = 100, .gpu = 0},
                                        .estimate = Scaled(kind.task_time, error)}},
                             .deadline = kPatience};
-  entry_node& entry = AnyEntry();
+  if (!connections_.empty()) {
+    who->connection = arrivals_() % connections_.size();
+  }
+  entry_node& entry = who->connection.has_value() ? *connections_[*who->connection] : AnyEntry();
   job_serial serial = entry.next_serial++;
   entry.callers[serial] = who.get();
   callers_[id] = std::move(who);
   OnProcessor(entry, settings_.costs.request,
               [this, &entry, serial, submission = std::move(submission)]() mutable {
                 if (entry.backlog.IsOver(time_.now())) {
-                  Answer(entry, serial, {.outcome = job_outcome::kRefused, .reason = "busy"});
+                  Answer(entry, serial, {.outcome = job_outcome::kRefused, .reason = kBusy});
                   return;
                 }
                 entry.backlog.Posted(time_.now());
--- a/tests/load/load_world.h
+++ b/tests/load/load_world.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "board/entry_rotation.h"
 #include "board/job_board.h"
 #include "board/loop_backlog.h"
 #include "leases/run_keeper.h"
@@ -65,10 +66,16 @@
     unsigned targets = 11;
     unsigned links = 4;      ///< entries that one agent keeps sessions with
     double first_entry = 1;  ///< callers of the first entry over those of any other
-    /// Share of a core that the first entry has, or nothing if processor time is not counted. The
-    /// other entries have as much as they need.
-    std::optional<double> first_entry_share{};
+    /// Share of a core that each of the first few entries has, or nothing if processor time is not
+    /// counted. The other entries have as much as they need.
+    std::optional<double> small_entry_share{};
+    unsigned small_entries = 1;
     entry_costs costs{};
+    /// Connections of callers, who are in the failure domain of the small entries. Each stays with
+    /// its entry until that ends it; the next one leads to a small entry, or if none says that it
+    /// is ready to another. 0: each job may come to any entry.
+    unsigned connections = 0;
+    entry_rotation::options rotation{};
     unsigned slow_every = 4;  ///< each n-th target takes twice as long
     int64_t target_cpu = 64'000;
     double estimate_error = 0.4;  ///< a job's true work is off its estimate by up to this share
@@ -91,7 +98,7 @@
     std::vector<load_result> seconds{};  ///< by the second in which the job was handed in
     double work_done = 0;                ///< core-seconds of tasks that ended done
     double work_wasted = 0;              ///< of these, of jobs that were not answered whole
-    duration processor_used{0};          ///< by the first entry, of its share
+    duration processor_used{0};          ///< by the small entries, of their share
     load_result Sum() const;
   };
 
@@ -122,6 +129,10 @@
   void SendReport(session& from);
   void Carry(agent_node& agent, const target_call& call);
   entry_node& AnyEntry();
+  /// @return where the balancer brings a new connection
+  entry_node& EntryForConnection();
+  /// Ends the connection that a job came over, as the entry would with its answer.
+  void EndConnection(const caller& who);
   void HandIn(const load_kind& kind);
   void Answer(entry_node& entry, job_serial serial, const job_answer& answer);
   void Admit(entry_node& entry, job_serial serial, job_submission submission);
@@ -141,6 +152,7 @@
   std::vector<std::unique_ptr<entry_node>> entries_;
   std::vector<std::unique_ptr<agent_node>> agents_;
   std::map<session_id, std::unique_ptr<session>> sessions_;
+  std::vector<entry_node*> connections_;  ///< where each leads
   std::map<std::string, std::unique_ptr<caller>> callers_;
   session_id next_session_ = 1;
   unsigned next_job_ = 1;
