A plan is sent only to an agent that is known not to have it

Since one-way messages a new session began with the plan, whether the agent had it or not, and so did the agent's first report; on slow links that took longer than a silence may last, the session ended, and its successor began with the plan again.

An entry sends the plan with the answer to a report that shows an older revision, an agent when the entry's greeting shows one, as the calls did before. The burst of plans to all agents at once is gone: they read the store, or tell with their next report that they have not. APlanThatBothEndsKnowIsNotSentInANewSession failed before.

--- a/libraries/session/agent_sessions.cc
+++ b/libraries/session/agent_sessions.cc
@@ -92,6 +92,7 @@
   auto open = sessions_.find(number);
   if (open != sessions_.end()) {
     open->second.report_sent = report.getSent();
+    open->second.has_reported = true;
     open->second.plan_known = std::max(open->second.plan_known, report.getPlanRevision());
     pending_.insert(number);
   }
@@ -137,7 +138,8 @@
   out.setReportSent(to.report_sent);
   const operating_plan& plan = hooks_.plan();
   out.setPlanRevision(plan.revision);
-  if (plan.revision > to.plan_known) {
+  // Plans may be long and links slow: an agent that has read the plan itself is not sent it.
+  if (to.has_reported && plan.revision > to.plan_known) {
     Write(plan, out.initPlan());
     to.plan_known = plan.revision;
   }
@@ -162,12 +164,6 @@
   to.stream->Send(message);
 }
 
-void agent_sessions::SendPlan() {
-  for (const auto& [number, open] : sessions_) {
-    pending_.insert(number);
-  }
-}
-
 void agent_sessions::Close(session_id number) {
   auto found = sessions_.find(number);
   if (found == sessions_.end()) {
--- a/libraries/session/agent_sessions.h
+++ b/libraries/session/agent_sessions.h
@@ -46,8 +46,6 @@
   /// Sends what is due: orders, stops, and that reports were taken. To be called after
   /// `after_message`, once for all messages of a turn.
   void Flush();
-  /// Tells every agent of the plan when Flush is called next.
-  void SendPlan();
   /// Ends a session from this side; the closed hook runs.
   void Close(session_id session);
   size_t size() const { return sessions_.size(); }
@@ -62,6 +60,7 @@
     uint64_t plan_known = 0;    ///< revision that the agent is known to have
     unsigned told_entries = 0;  ///< number of the list last sent, see entries_number_
     bool is_open = false;
+    bool has_reported = false;  ///< so that it is known which plan the agent has
   };
 
   void Take(session_id number, session_wire::ToEntry::Reader message);
--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -147,13 +147,13 @@
   target.stream->Send(message);
 }
 
-void entry_links::Joined(link& target) {
+void entry_links::Joined(link& target, uint64_t plan_known) {
   session_id session = next_session_++;
   target.dialing = false;
   target.session = session;
   target.pace.Connected();
   target.answered = hooks_.now();
-  target.plan_known = 0;
+  target.plan_known = plan_known;
   target.orders_seen = 0;
   target.last_order = {};
   target.told_entries.clear();
@@ -301,7 +301,7 @@
 
 void entry_links::Receive(link& target, session_wire::ToAgent::Reader message) {
   if (target.session == 0) {
-    Joined(target);
+    Joined(target, message.getPlanRevision());
   }
   target.answered = hooks_.now();
   target.named = target.answered;
--- a/libraries/session/entry_links.h
+++ b/libraries/session/entry_links.h
@@ -93,7 +93,7 @@
   std::function<link*()> WhileCurrent(const link& target) const;
   void Dial(link& target);
   void Connected(link& target, kj::Own<kj::AsyncIoStream> connection);
-  void Joined(link& target);
+  void Joined(link& target, uint64_t plan_known);
   void Drop(link& target, const std::string& why);
   void Send(link& target, const target_status& load, instant now);
   void Receive(link& target, session_wire::ToAgent::Reader message);
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -187,7 +187,6 @@
     first_plan_.Open();
   }
   board_->Plan(taken);
-  sessions_->SendPlan();
   Changed();
 }
 
--- a/tests/session/session_loopback_test.cc
+++ b/tests/session/session_loopback_test.cc
@@ -25,6 +25,9 @@
   return holds;
 }
 
+/// Plans that either end was sent, in all tests.
+unsigned plans_sent = 0;
+
 /// An entry's end with what it was told.
 struct entry_end {
   operating_plan plan{};
@@ -51,7 +54,10 @@
     hooks.closed = [this](session_id session) { closed.push_back(session); };
     hooks.after_message = [this, &loop] { loop.After(duration::zero(), [this] { Flush(); }); };
     hooks.plan = [this]() -> const operating_plan& { return plan; };
-    hooks.newer_plan = [this](operating_plan newer) { plan = std::move(newer); };
+    hooks.newer_plan = [this](operating_plan newer) {
+      ++plans_sent;
+      plan = std::move(newer);
+    };
     hooks.entries = [this]() -> const std::vector<std::string>& { return heard; };
     hooks.heard_of_entry = [this](const std::string& entry) { heard.push_back(entry); };
     loop.Run([&] { sessions = std::make_unique<agent_sessions>(loop, hooks); });
@@ -86,7 +92,10 @@
     hooks.busy = [](session_id) { return false; };
     hooks.settled = [] { return true; };
     hooks.plan = [this]() -> const operating_plan& { return plan; };
-    hooks.newer_plan = [this](operating_plan newer) { plan = std::move(newer); };
+    hooks.newer_plan = [this](operating_plan newer) {
+      ++plans_sent;
+      plan = std::move(newer);
+    };
     loop.Run([&] {
       links = std::make_unique<entry_links>(
           loop, agent_identity{.name = "a", .address = "10.0.0.1:1", .domain = "zone-1"},
@@ -148,14 +157,24 @@
 TEST(SessionLoopback, TheNewerPlanReachesBothEnds) {
   loop->Run([this] { agent.plan.revision = 5; });
   CHECK(Until([this] { return entry.plan.revision == 5; }));
-  loop->Run([this] {
-    entry.plan.revision = 8;
-    entry.sessions->SendPlan();
-    entry.sessions->Flush();
-  });
+  loop->Run([this] { entry.plan.revision = 8; });
   CHECK(Until([this] { return agent.plan.revision == 8; }));
 }
 
+TEST(SessionLoopback, APlanThatBothEndsKnowIsNotSentInANewSession) {
+  unsigned before = 0;
+  loop->Run([&] {
+    entry.plan.revision = 5;
+    agent.plan.revision = 5;
+    before = plans_sent;
+    entry.sessions->Close(entry.opened[0]);
+  });
+  CHECK(Until([this] { return agent.opened.size() == 2; }));
+  unsigned reports = entry.reports;
+  CHECK(Until([&] { return entry.reports >= reports + 3; }));
+  CHECK_EQUAL(before, plans_sent);
+}
+
 TEST(SessionLoopback, ASessionClosedByTheEntryIsMadeAnew) {
   loop->Run([this] { entry.sessions->Close(entry.opened[0]); });
   CHECK(Until([this] { return agent.closed.size() == 1 && agent.opened.size() == 2; }));
