--- a/libraries/daemon/daemon_main.cc
+++ b/libraries/daemon/daemon_main.cc
@@ -3,8 +3,8 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 
+#include "base/build_info.h"
 #include "base/layer_error.h"
-#include "base/version.h"
 
 namespace wagtail {
 
@@ -22,7 +22,7 @@
   bool check_only = false;
   app.add_option("--settings", path, "settings file, JSON with comments")->required();
   app.add_flag("--check-settings", check_only, "check the settings and exit");
-  app.set_version_flag("--version", std::string(kVersion));
+  app.set_version_flag("--version", BuildDescription());
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -10,7 +10,9 @@
 #include <atomic>
 #include <condition_variable>
 #include <exception>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <utility>
@@ -80,12 +82,10 @@
 thread_local bool answering = false;
 thread_local int connection_socket = -1;
 
-/// ulfius does not pass the connection to its endpoints; this callback runs before them.
-void* OnUri(void* self, const char* uri, MHD_Connection* connection) {
+int SocketOf(MHD_Connection* connection) {
   const MHD_ConnectionInfo* info =
       MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  connection_socket = info == nullptr ? -1 : info->connect_fd;
-  return ulfius_uri_logger(self, uri);
+  return info == nullptr ? -1 : info->connect_fd;
 }
 
 }  // namespace
@@ -103,7 +103,10 @@
   std::mutex mutex;
   std::condition_variable drained;
   unsigned in_progress = 0;
+  std::mutex sockets_mutex;
+  std::map<int, std::optional<instant>> sockets;  ///< open connections and since when each is idle
 
+  void SetBusy(int socket, bool busy);
   absl::Status Listen();
   void Drain();
   bool BeginRequest();
@@ -111,10 +114,40 @@
   http_response Handle(const _u_request* request) const;
 
   static int OnRequest(const _u_request* request, _u_response* response, void* self);
+  static void* OnUri(void* self, const char* uri, MHD_Connection* connection);
+  static void OnConnection(void* self, MHD_Connection* connection, void** context,
+                           MHD_ConnectionNotificationCode code);
   static void OnCompleted(void* self, MHD_Connection* connection, void** context,
                           MHD_RequestTerminationCode code);
 };
 
+/// ulfius does not pass the connection to its endpoints; this callback runs before them.
+void* http_server::state::OnUri(void* self, const char* uri, MHD_Connection* connection) {
+  connection_socket = SocketOf(connection);
+  static_cast<state*>(self)->SetBusy(connection_socket, true);
+  return ulfius_uri_logger(nullptr, uri);
+}
+
+void http_server::state::OnConnection(void* self, MHD_Connection* connection, void** /*context*/,
+                                      MHD_ConnectionNotificationCode code) {
+  auto* server = static_cast<state*>(self);
+  int socket = SocketOf(connection);
+  std::lock_guard lock(server->sockets_mutex);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    server->sockets[socket] = MonotonicNow();
+  } else {
+    server->sockets.erase(socket);
+  }
+}
+
+void http_server::state::SetBusy(int socket, bool busy) {
+  std::lock_guard lock(sockets_mutex);
+  auto found = sockets.find(socket);
+  if (found != sockets.end()) {
+    found->second = busy ? std::nullopt : std::optional(MonotonicNow());
+  }
+}
+
 bool http_server::state::BeginRequest() {
   std::lock_guard lock(mutex);
   if (stopping) {
@@ -168,7 +201,9 @@
 void http_server::state::OnCompleted(void* self, MHD_Connection* connection, void** context,
                                      MHD_RequestTerminationCode code) {
   mhd_request_completed(nullptr, connection, context, code);
-  static_cast<state*>(self)->EndRequest();
+  auto* server = static_cast<state*>(self);
+  server->SetBusy(SocketOf(connection), false);
+  server->EndRequest();
 }
 
 absl::Status http_server::state::Listen() {
@@ -188,9 +223,10 @@
   instance.allowed_post_processor = U_POST_PROCESS_NONE;
   ulfius_set_default_endpoint(&instance, &state::OnRequest, this);
 
-  std::array<MHD_OptionItem, 6> items{{
+  std::array<MHD_OptionItem, 7> items{{
+      {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(&state::OnConnection), this},
       {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&state::OnCompleted), this},
-      {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&OnUri), nullptr},
+      {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&state::OnUri), this},
       {MHD_OPTION_SOCK_ADDR, 0, &address},
       {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options.max_connections), nullptr},
       {MHD_OPTION_CONNECTION_TIMEOUT, kIdleConnectionSeconds, nullptr},
@@ -247,6 +283,17 @@
 
 uint16_t http_server::port() const { return state_->port; }
 
+void http_server::CloseIdleConnections(duration idle_for) {
+  instant idle_since = MonotonicNow() - idle_for;
+  std::lock_guard lock(state_->sockets_mutex);
+  for (const auto& [socket, since] : state_->sockets) {
+    if (since.has_value() && *since <= idle_since) {
+      // The connection's thread still reads what has arrived, and closes the socket after it.
+      shutdown(socket, SHUT_RD);
+    }
+  }
+}
+
 void http_server::Stop() {
   std::lock_guard lock(state_->stop_mutex);
   if (std::exchange(state_->stopped, true)) {
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -35,6 +35,12 @@
 
   /// @return the port in use, also when it is ephemeral
   uint16_t port() const;
+  /// Ends the connections that have had no request for a while, so that callers that keep idle
+  /// connections open another one before their next request. A request that has already arrived is
+  /// answered.
+  /// @param idle_for minimum time since the last answer; the longer, the less likely it is that
+  ///   the caller is sending a request right now
+  void CloseIdleConnections(duration idle_for);
   /// Stops listening and waits for requests in progress; idempotent. Later requests on connections
   /// that are still open are answered 503 without calling the handler. After the drain timeout
   /// connections are closed, but Stop still waits for running handlers. Must not be called from a
--- a/libraries/scheduler/job_admission.cc
+++ b/libraries/scheduler/job_admission.cc
@@ -27,6 +27,9 @@
   if (jobs_.size() >= options_.max_jobs) {
     return refuse("too_many_jobs", options_.min_retry_after);
   }
+  if (EndsWithEntry(candidate, now)) {
+    return refuse("stopping", options_.min_retry_after);
+  }
   if (targets_.InUse(now) == 0) {
     bool expected = no_target_since_.has_value() && now - *no_target_since_ < options_.target_grace;
     return expected ? std::nullopt : std::optional(refuse("no_target", options_.min_retry_after));
@@ -57,6 +60,11 @@
   return std::nullopt;
 }
 
+bool job_scheduler::EndsWithEntry(const job& candidate, instant now) const {
+  return end_.has_value() &&
+         now + Scaled(PredictedRunTime(candidate, now), options_.max_run_factor) > *end_;
+}
+
 bool job_scheduler::CanStartNow(const job& candidate, instant now) const {
   // Tasks returned by an agent wait until the next placement, even where resources are free.
   int64_t tasks = waiting_;
--- a/libraries/scheduler/job_scheduler.cc
+++ b/libraries/scheduler/job_scheduler.cc
@@ -377,6 +377,16 @@
   return true;
 }
 
+void job_scheduler::AbandonAll(std::string_view reason) {
+  while (!jobs_.empty()) {
+    const auto& [id, owner] = *jobs_.begin();
+    job_outcome outcome = HasBegun(owner) ? job_outcome::kAbandoned : job_outcome::kRefused;
+    Answer(std::string(id), {.outcome = outcome,
+                             .reason = std::string(reason),
+                             .retry_after = options_.min_retry_after});
+  }
+}
+
 void job_scheduler::WithdrawAll(job& owner) {
   for (step& each : owner.steps) {
     for (task& item : each.tasks) {
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -43,6 +43,9 @@
   double max_wait_fraction = 0.25;
   /// A job that misses its objective is to complete within this multiple of the objective.
   double late_objective_factor = 3;
+  /// A draining entry refuses a job that may not have ended when the entry ends: tasks take up to
+  /// this multiple of their predicted run time.
+  double max_run_factor = 2;
   /// Maximum number of jobs in progress.
   size_t max_jobs = 4000;
 };
@@ -72,6 +75,10 @@
   /// @return whether this scheduler holds the job
   bool Cancel(std::string_view job);
 
+  /// The entry is about to end: from now on, jobs that may not have ended by `end` are refused.
+  void DrainUntil(instant end) { end_ = end; }
+  /// Answers all jobs, since the entry ends now.
+  void AbandonAll(std::string_view reason);
   void SetPlan(const operating_plan& plan) { targets_.SetPlan(plan); }
   void OnSessionOpened(session_id session, const agent_identity& agent, instant now);
   void OnReport(session_id session, const session_report& report, instant now);
@@ -133,6 +140,7 @@
   using job_map = std::unordered_map<std::string, job>;
 
   std::optional<job_answer> Refusal(const job& candidate, instant now) const;
+  bool EndsWithEntry(const job& candidate, instant now) const;
   /// @return whether its first tasks could start now in addition to all waiting tasks
   bool CanStartNow(const job& candidate, instant now) const;
   queue_estimate QueueBefore(const job& candidate, instant now) const;
@@ -170,8 +178,9 @@
   std::unordered_map<request_serial, std::string> requests_;
   std::unordered_map<uint64_t, order_place> orders_;
   uint64_t next_order_ = 1;
-  int waiting_ = 0;    ///< tasks of all jobs that wait to be placed
-  int unsettled_ = 0;  ///< tasks of all jobs that may still run on a lost agent
+  int waiting_ = 0;             ///< tasks of all jobs that wait to be placed
+  int unsettled_ = 0;           ///< tasks of all jobs that may still run on a lost agent
+  std::optional<instant> end_;  ///< when the draining entry ends
   std::optional<instant> no_target_since_;  ///< empty while some target is in use
 };
 
--- a/libraries/scheduler/scheduler_events.h
+++ b/libraries/scheduler/scheduler_events.h
@@ -11,6 +11,7 @@
 #include "leases/run_events.h"
 #include "leases/task_ref.h"
 #include "plan/operating_plan.h"
+#include "scheduler/session_protocol.h"
 
 /// @file
 /// Inputs and outputs of job_scheduler.
@@ -83,6 +84,7 @@
   std::string name{};
   std::string address{};
   std::string domain{};
+  peer_build build{};
 };
 
 /// One log event of job_scheduler.
--- a/libraries/session/agent_sessions.cc
+++ b/libraries/session/agent_sessions.cc
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-agent_sessions::agent_sessions(event_loop& loop, hooks hooks)
-    : loop_(loop), hooks_(std::move(hooks)) {}
+agent_sessions::agent_sessions(event_loop& loop, peer_build self, hooks hooks)
+    : loop_(loop), self_(std::move(self)), hooks_(std::move(hooks)) {}
 
 agent_sessions::~agent_sessions() {
   for (auto& [id, closing] : sessions_) {
@@ -47,19 +47,38 @@
 }
 
 void agent_sessions::OnMessage(session_id id, session_wire::ToEntry::Reader message) {
-  if (message.isHello()) {
-    OnHello(id, Read(message.getHello()));
-    return;
+  switch (message.which()) {
+    case session_wire::ToEntry::HELLO:
+      OnHello(id, Read(message.getHello()));
+      return;
+    case session_wire::ToEntry::REPORT: {
+      auto found = sessions_.find(id);
+      if (found == sessions_.end() || !found->second.is_open) {
+        Close(id);
+        return;
+      }
+      OnReport(id, message.getReport());
+      return;
+    }
   }
-  auto found = sessions_.find(id);
-  if (found == sessions_.end() || !found->second.is_open) {
+  // A newer agent sent a kind of message that this entry does not know.
+  LogFact(log_level::kDebug, "message_ignored", {{"session", id}});
+}
+
+void agent_sessions::OnHello(session_id id, const agent_identity& identity) {
+  if (!CommonProtocol(self_.protocols, identity.build.protocols).has_value()) {
+    LogFact(log_level::kError, "agent_incompatible",
+            {{"agent", identity.name},
+             {"build", identity.build.build},
+             {"protocol", ProtocolText(identity.build.protocols)},
+             {"own_protocol", ProtocolText(self_.protocols)}});
     Close(id);
     return;
   }
-  OnReport(id, message.getReport());
+  OpenSession(id, identity);
 }
 
-void agent_sessions::OnHello(session_id id, const agent_identity& identity) {
+void agent_sessions::OpenSession(session_id id, const agent_identity& identity) {
   // The agent has dropped its previous connection, which this side may not have detected yet.
   std::vector<session_id> previous;
   for (const auto& [other, candidate] : sessions_) {
@@ -144,6 +163,10 @@
     Write(plan, out.initPlan());
     agent.known_plan_revision = plan.revision;
   }
+  if (!std::exchange(agent.was_greeted, true)) {
+    Write(self_, out.initBuild());
+  }
+  out.setDraining(draining_);
   if (agent.sent_entries_version != entries_version_) {
     Write(entries_, out.initOtherEntries(static_cast<unsigned>(entries_.size())));
     agent.sent_entries_version = entries_version_;
@@ -165,6 +188,14 @@
   agent.stream->Send(message);
 }
 
+void agent_sessions::AnnounceDraining() {
+  draining_ = true;
+  for (const auto& [id, agent] : sessions_) {
+    pending_.insert(id);
+  }
+  Flush();
+}
+
 void agent_sessions::Close(session_id id) {
   auto found = sessions_.find(id);
   if (found == sessions_.end()) {
--- a/libraries/session/agent_sessions.h
+++ b/libraries/session/agent_sessions.h
@@ -35,7 +35,8 @@
     std::function<void(const std::string&)> entry_reported;
   };
 
-  agent_sessions(event_loop& loop, hooks hooks);
+  /// @param self this build, sent to each agent
+  agent_sessions(event_loop& loop, peer_build self, hooks hooks);
   ~agent_sessions();
 
   /// Accepts an agent's connection; the session opens with the agent's hello.
@@ -47,6 +48,9 @@
   /// Sends queued orders and stops, and acknowledges reports. Must be called after `after_message`,
   /// once for all messages of a turn.
   void Flush();
+  /// Tells all agents, now and when they connect, that this entry is about to end, so that each
+  /// opens a session with another entry.
+  void AnnounceDraining();
   /// Closes a session from the entry side and calls `session_closed`.
   void Close(session_id session);
   size_t size() const { return sessions_.size(); }
@@ -61,16 +65,20 @@
     uint64_t known_plan_revision = 0;   ///< newest that the agent is known to have
     unsigned sent_entries_version = 0;  ///< entries_version_ of the list last sent
     bool is_open = false;
+    bool was_greeted = false;   ///< this entry's build was sent
     bool has_reported = false;  ///< known_plan_revision is valid
   };
 
   void OnMessage(session_id id, session_wire::ToEntry::Reader message);
   void OnHello(session_id id, const agent_identity& identity);
+  void OpenSession(session_id id, const agent_identity& identity);
   void OnReport(session_id id, session_wire::Report::Reader report);
   void Send(session& agent);
 
   event_loop& loop_;
+  peer_build self_;
   hooks hooks_;
+  bool draining_ = false;
   std::map<session_id, session> sessions_;
   std::set<session_id> pending_;
   session_id next_session_ = 1;
--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -35,6 +35,7 @@
   std::vector<std::string> reported_entries{};
   instant entries_reported_at{};
   std::vector<run_result> results{};
+  bool is_draining = false;  ///< the entry is about to end
 };
 
 entry_links::entry_links(event_loop& loop, agent_identity self, entry_links_options options,
@@ -147,10 +148,25 @@
   entry.stream->Send(message);
 }
 
-void entry_links::OnSessionOpened(link& entry, uint64_t known_plan_revision) {
+bool entry_links::CanTalkTo(link& entry, const peer_build& build) {
+  if (CommonProtocol(self_.build.protocols, build.protocols).has_value()) {
+    return true;
+  }
+  LogFact(log_level::kError, "entry_incompatible",
+          {{"entry", entry.address},
+           {"build", build.build},
+           {"protocol", ProtocolText(build.protocols)},
+           {"own_protocol", ProtocolText(self_.build.protocols)}});
+  Disconnect(entry, "no common session protocol");
+  return false;
+}
+
+void entry_links::OnSessionOpened(link& entry, uint64_t known_plan_revision,
+                                  const peer_build& build) {
   session_id session = next_session_++;
   entry.is_connecting = false;
   entry.session = session;
+  entry.is_draining = false;
   entry.backoff.OnConnected();
   entry.last_answer = hooks_.now();
   entry.known_plan_revision = known_plan_revision;
@@ -159,7 +175,11 @@
   entry.reported_entries.clear();
   entry.results.clear();
   entry.retired_since = {};
-  LogFact(log_level::kInfo, "entry_joined", {{"entry", entry.address}, {"session", session}});
+  LogFact(log_level::kInfo, "entry_joined",
+          {{"entry", entry.address},
+           {"session", session},
+           {"build", build.build},
+           {"protocol", ProtocolText(build.protocols)}});
   hooks_.session_opened(session, entry.hello_sent);
   SendReport(entry, hooks_.load(), hooks_.now());
 }
@@ -167,6 +187,7 @@
 void entry_links::Disconnect(link& entry, const std::string& why) {
   instant now = hooks_.now();
   session_id session = std::exchange(entry.session, 0);
+  entry.is_draining = false;
   LogFact(session == 0 ? log_level::kDebug : log_level::kWarning, "entry_link_lost",
           {{"entry", entry.address}, {"session", session}, {"why", why}});
   entry.is_connecting = false;
@@ -198,7 +219,10 @@
   size_t kept = 0;
   for (link* each : LinksByRank()) {
     bool allowed = options_.limits.Allow(kept, SendsOrders(*each, now));
-    if (each->session != 0) {
+    if (each->is_draining) {
+      // Kept until the entry ends it, and already replaced by a session with another entry.
+      each->retired_since = {};
+    } else if (each->session != 0) {
       ++kept;
       if (!allowed) {
         Retire(*each, now);
@@ -302,8 +326,13 @@
 
 void entry_links::OnMessage(link& entry, session_wire::ToAgent::Reader message) {
   if (entry.session == 0) {
-    OnSessionOpened(entry, message.getPlanRevision());
+    peer_build build = Read(message.getBuild());
+    if (!CanTalkTo(entry, build)) {
+      return;
+    }
+    OnSessionOpened(entry, message.getPlanRevision(), build);
   }
+  entry.is_draining = message.getDraining();
   entry.last_answer = hooks_.now();
   entry.last_seen = entry.last_answer;
   entry.known_plan_revision = std::max(entry.known_plan_revision, message.getPlanRevision());
--- a/libraries/session/entry_links.h
+++ b/libraries/session/entry_links.h
@@ -94,7 +94,9 @@
   std::function<link*()> LinkOfAttempt(const link& entry) const;
   void Connect(link& entry);
   void OnConnected(link& entry, kj::Own<kj::AsyncIoStream> connection);
-  void OnSessionOpened(link& entry, uint64_t known_plan_revision);
+  /// Disconnects an entry that has no protocol version in common with this agent.
+  bool CanTalkTo(link& entry, const peer_build& build);
+  void OnSessionOpened(link& entry, uint64_t known_plan_revision, const peer_build& build);
   void Disconnect(link& entry, const std::string& why);
   void SendReport(link& entry, const target_status& load, instant now);
   void OnMessage(link& entry, session_wire::ToAgent::Reader message);
--- a/libraries/session/session.capnp
+++ b/libraries/session/session.capnp
@@ -1,6 +1,9 @@
 @0xd0f3a9b7c5e21846;
 # Protocol between entries and the agents of targets. Agents connect to entries, and both ends send
 # one-way messages over the connection. All durations are in microseconds.
+#
+# Ends of different versions work together, see docs/COMPATIBILITY.md: fields are only added, at the
+# next number; a field that is no longer used keeps its number and is marked as unused.
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("wagtail::session_wire");
@@ -104,9 +107,18 @@
   agent @0 :Text;             # name of the VM
   address @1 :Text;
   domain @2 :Text;
+  build @3 :Build;
 }
 
-# The first of a connection's messages to the entry is a hello, all others are reports.
+# The program at one end of a session. Absent from peers of protocol 1.
+struct Build {
+  oldestProtocol @0 :UInt16;
+  newestProtocol @1 :UInt16;
+  description @2 :Text;       # version and commit
+}
+
+# The first of a connection's messages to the entry is a hello, all others are reports. Kinds that
+# the entry does not know are ignored.
 struct ToEntry {
   union {
     hello @0 :Hello;
@@ -122,4 +134,6 @@
   otherEntries @3 :List(Text);
   jobs @4 :List(JobOrder);
   stops @5 :List(UInt64);
+  build @6 :Build;            # in the first message of a session
+  draining @7 :Bool;          # the entry is about to end; the agent is to open another session
 }
--- a/libraries/session/session.capnp.h
+++ b/libraries/session/session.capnp.h
@@ -42,6 +42,7 @@
 CAPNP_DECLARE_SCHEMA(eceaf8ae5c2f8830);
 CAPNP_DECLARE_SCHEMA(93167701a35a145a);
 CAPNP_DECLARE_SCHEMA(8862af0c729479cd);
+CAPNP_DECLARE_SCHEMA(889032ac8031038a);
 CAPNP_DECLARE_SCHEMA(b5b27efa8584fbbb);
 CAPNP_DECLARE_SCHEMA(a7ede1c707704afd);
 
@@ -183,7 +184,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8862af0c729479cd, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8862af0c729479cd, 0, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Build {
+  Build() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(889032ac8031038a, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -217,7 +233,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a7ede1c707704afd, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a7ede1c707704afd, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1189,6 +1205,9 @@
   inline bool hasDomain() const;
   inline  ::capnp::Text::Reader getDomain() const;
 
+  inline bool hasBuild() const;
+  inline  ::wagtail::session_wire::Build::Reader getBuild() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1238,6 +1257,13 @@
   inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
+  inline bool hasBuild();
+  inline  ::wagtail::session_wire::Build::Builder getBuild();
+  inline void setBuild( ::wagtail::session_wire::Build::Reader value);
+  inline  ::wagtail::session_wire::Build::Builder initBuild();
+  inline void adoptBuild(::capnp::Orphan< ::wagtail::session_wire::Build>&& value);
+  inline ::capnp::Orphan< ::wagtail::session_wire::Build> disownBuild();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1256,6 +1282,98 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::wagtail::session_wire::Build::Pipeline getBuild();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Build::Reader {
+public:
+  typedef Build Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getOldestProtocol() const;
+
+  inline  ::uint16_t getNewestProtocol() const;
+
+  inline bool hasDescription() const;
+  inline  ::capnp::Text::Reader getDescription() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Build::Builder {
+public:
+  typedef Build Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getOldestProtocol();
+  inline void setOldestProtocol( ::uint16_t value);
+
+  inline  ::uint16_t getNewestProtocol();
+  inline void setNewestProtocol( ::uint16_t value);
+
+  inline bool hasDescription();
+  inline  ::capnp::Text::Builder getDescription();
+  inline void setDescription( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDescription(unsigned int size);
+  inline void adoptDescription(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDescription();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Build::Pipeline {
+public:
+  typedef Build Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1394,6 +1512,11 @@
   inline bool hasStops() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getStops() const;
 
+  inline bool hasBuild() const;
+  inline  ::wagtail::session_wire::Build::Reader getBuild() const;
+
+  inline bool getDraining() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1458,6 +1581,16 @@
   inline void adoptStops(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownStops();
 
+  inline bool hasBuild();
+  inline  ::wagtail::session_wire::Build::Builder getBuild();
+  inline void setBuild( ::wagtail::session_wire::Build::Reader value);
+  inline  ::wagtail::session_wire::Build::Builder initBuild();
+  inline void adoptBuild(::capnp::Orphan< ::wagtail::session_wire::Build>&& value);
+  inline ::capnp::Orphan< ::wagtail::session_wire::Build> disownBuild();
+
+  inline bool getDraining();
+  inline void setDraining(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1477,6 +1610,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::wagtail::session_wire::Plan::Pipeline getPlan();
+  inline  ::wagtail::session_wire::Build::Pipeline getBuild();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2737,6 +2871,107 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Hello::Reader::hasBuild() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasBuild() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wagtail::session_wire::Build::Reader Hello::Reader::getBuild() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::wagtail::session_wire::Build::Builder Hello::Builder::getBuild() {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::wagtail::session_wire::Build::Pipeline Hello::Pipeline::getBuild() {
+  return  ::wagtail::session_wire::Build::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void Hello::Builder::setBuild( ::wagtail::session_wire::Build::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::wagtail::session_wire::Build::Builder Hello::Builder::initBuild() {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::adoptBuild(
+    ::capnp::Orphan< ::wagtail::session_wire::Build>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wagtail::session_wire::Build> Hello::Builder::disownBuild() {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Build::Reader::getOldestProtocol() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Build::Builder::getOldestProtocol() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Build::Builder::setOldestProtocol( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Build::Reader::getNewestProtocol() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Build::Builder::getNewestProtocol() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Build::Builder::setNewestProtocol( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Build::Reader::hasDescription() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Build::Builder::hasDescription() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Build::Reader::getDescription() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Build::Builder::getDescription() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Build::Builder::setDescription( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Build::Builder::initDescription(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Build::Builder::adoptDescription(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Build::Builder::disownDescription() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::wagtail::session_wire::ToEntry::Which ToEntry::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3031,6 +3266,59 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool ToAgent::Reader::hasBuild() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ToAgent::Builder::hasBuild() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::wagtail::session_wire::Build::Reader ToAgent::Reader::getBuild() const {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::wagtail::session_wire::Build::Builder ToAgent::Builder::getBuild() {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::wagtail::session_wire::Build::Pipeline ToAgent::Pipeline::getBuild() {
+  return  ::wagtail::session_wire::Build::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void ToAgent::Builder::setBuild( ::wagtail::session_wire::Build::Reader value) {
+  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::wagtail::session_wire::Build::Builder ToAgent::Builder::initBuild() {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ToAgent::Builder::adoptBuild(
+    ::capnp::Orphan< ::wagtail::session_wire::Build>&& value) {
+  ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::wagtail::session_wire::Build> ToAgent::Builder::disownBuild() {
+  return ::capnp::_::PointerHelpers< ::wagtail::session_wire::Build>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool ToAgent::Reader::getDraining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool ToAgent::Builder::getDraining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void ToAgent::Builder::setDraining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/libraries/session/session_codec.cc
+++ b/libraries/session/session_codec.cc
@@ -236,16 +236,31 @@
   return report;
 }
 
+void Write(const peer_build& build, session_wire::Build::Builder out) {
+  out.setOldestProtocol(static_cast<uint16_t>(build.protocols.oldest));
+  out.setNewestProtocol(static_cast<uint16_t>(build.protocols.newest));
+  out.setDescription(build.build);
+}
+
+peer_build Read(session_wire::Build::Reader in) {
+  // A peer of protocol 1 does not send its build, which reads as zeros.
+  return {.protocols = {.oldest = std::max<unsigned>(1, in.getOldestProtocol()),
+                        .newest = std::max<unsigned>(1, in.getNewestProtocol())},
+          .build = in.getDescription().cStr()};
+}
+
 void Write(const agent_identity& agent, session_wire::Hello::Builder out) {
   out.setAgent(agent.name);
   out.setAddress(agent.address);
   out.setDomain(agent.domain);
+  Write(agent.build, out.initBuild());
 }
 
 agent_identity Read(session_wire::Hello::Reader in) {
   return {.name = in.getAgent().cStr(),
           .address = in.getAddress().cStr(),
-          .domain = in.getDomain().cStr()};
+          .domain = in.getDomain().cStr(),
+          .build = Read(in.getBuild())};
 }
 
 }  // namespace wagtail::leased
--- a/libraries/session/session_codec.h
+++ b/libraries/session/session_codec.h
@@ -28,6 +28,10 @@
 void Write(const session_report& report, session_wire::Load::Builder out);
 session_report Read(session_wire::Load::Reader in);
 
+void Write(const peer_build& build, session_wire::Build::Builder out);
+/// @return the build of the peer; a peer that sent none speaks protocol 1
+peer_build Read(session_wire::Build::Reader in);
+
 void Write(const agent_identity& agent, session_wire::Hello::Builder out);
 agent_identity Read(session_wire::Hello::Reader in);
 
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -14,6 +14,7 @@
 #include "platform/node_services.h"
 #include "platform/plan_json.h"
 #include "platform/task_name.h"
+#include "session/own_build.h"
 
 namespace wagtail::leased {
 namespace {
@@ -60,6 +61,7 @@
       run_seconds_(&metrics_.Histograms("wagtail_agent_run_seconds",
                                         "Durations of runs that were done.", kRunSecondsBounds)) {
   AddProcessMetrics(metrics_);
+  AddBuildMetric(metrics_);
 }
 
 agent_service::~agent_service() {
@@ -144,7 +146,8 @@
   hooks.newer_plan = [this](operating_plan plan) { ApplyPlan(std::move(plan)); };
   agent_identity self{.name = settings_.name,
                       .address = settings_.SessionAddress(settings_.ip),
-                      .domain = settings_.domain};
+                      .domain = settings_.domain,
+                      .build = OwnBuild()};
   links_ = std::make_unique<entry_links>(loop_, self, entry_links_options{}, std::move(hooks));
   for (const std::string& seed : settings_.seed_ips) {
     links_->AddEntry(settings_.SessionAddress(seed));
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -11,6 +11,7 @@
 #include "metrics/process_metrics.h"
 #include "platform/job_json.h"
 #include "platform/node_services.h"
+#include "session/own_build.h"
 
 namespace wagtail::leased {
 namespace {
@@ -25,8 +26,10 @@
 constexpr duration kEntryExpiry = std::chrono::seconds(10);
 /// The load balancer may keep sending connections for this long after a request to stop.
 constexpr duration kBalancerDrainTime = std::chrono::milliseconds(2000);
-/// New jobs are refused only in this last part of the drain: callers keep using their connections.
-constexpr duration kRefusalPeriod = std::chrono::milliseconds(1500);
+/// A draining entry closes connections that callers have not used for this long.
+constexpr duration kIdleConnectionAge = std::chrono::milliseconds(500);
+/// A draining entry ends once no caller has used it for this long.
+constexpr duration kQuietPeriod = std::chrono::milliseconds(300);
 /// How long the caller's thread waits for the answer after the job's deadline.
 constexpr duration kAnswerGrace = std::chrono::seconds(2);
 constexpr std::array kAnswerSecondsBounds = {0.01, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0};
@@ -67,6 +70,7 @@
       shared_plan_(std::make_unique<const operating_plan>()),
       filters_(MakeFrontFilters(FrontHooks())) {
   AddProcessMetrics(metrics_);
+  AddBuildMetric(metrics_);
 }
 
 dispatch_service::~dispatch_service() {
@@ -96,7 +100,9 @@
   ready_server_ = TRY(platform::ServeAt(
       settings_.ready, [this](const http_request& /*request*/) { return AnswerReadiness(); }));
   front_server_ = TRY(platform::ServeAt(settings_.front, [this](const http_request& request) {
+    last_front_activity_ = BootTimeNow();
     http_response response = RunFrontFilters(filters_, request);
+    last_front_activity_ = BootTimeNow();
     if (ShouldCloseConnection()) {
       response.headers["connection"] = "close";
     }
@@ -144,7 +150,11 @@
   hooks.now = BootTimeNow;
   hooks.session_opened = [this](session_id session, const agent_identity& agent) {
     LogFact(log_level::kInfo, "agent_joined",
-            {{"agent", agent.name}, {"address", agent.address}, {"session", session}});
+            {{"agent", agent.name},
+             {"address", agent.address},
+             {"session", session},
+             {"build", agent.build.build},
+             {"protocol", ProtocolText(agent.build.protocols)}});
     scheduler_->OnSessionOpened(session, agent, BootTimeNow());
   };
   hooks.report_received = [this](session_id session, const session_report& report) {
@@ -162,7 +172,7 @@
   hooks.newer_plan = [this](operating_plan plan) { ApplyPlan(std::move(plan)); };
   hooks.entries = [this]() -> const std::vector<std::string>& { return known_entries_; };
   hooks.entry_reported = [this](const std::string& entry) { OnEntryReported(entry); };
-  sessions_ = std::make_unique<agent_sessions>(loop_, std::move(hooks));
+  sessions_ = std::make_unique<agent_sessions>(loop_, OwnBuild(), std::move(hooks));
 }
 
 void dispatch_service::FollowStore() {
@@ -405,19 +415,32 @@
   // Agents connect to entries: nothing here depends on settings that can change at run time.
 }
 
+bool dispatch_service::IsQuiet() {
+  if (BootTimeNow() - last_front_activity_.load() < kQuietPeriod) {
+    return false;
+  }
+  size_t jobs = 0;
+  loop_.Run([this, &jobs] { jobs = scheduler_->jobs(); });
+  return jobs == 0;
+}
+
 void dispatch_service::Stop(duration limit) {
   instant begin = BootTimeNow();
+  instant end = begin + limit;
   draining_ = true;
+  loop_.Run([this, end] {
+    scheduler_->DrainUntil(end);
+    sessions_->AnnounceDraining();
+  });
   SleepUntil(begin + std::min(limit, kBalancerDrainTime));
   // From now on a caller that reconnects reaches another entry.
   closing_connections_ = true;
-  SleepUntil(begin + limit - kRefusalPeriod);
-  refusing_jobs_ = true;
-  size_t remaining = 1;
-  while (remaining > 0 && BootTimeNow() < begin + limit) {
+  while (BootTimeNow() < end && !IsQuiet()) {
+    front_server_->CloseIdleConnections(kIdleConnectionAge);
     SleepUntil(BootTimeNow() + kStopPollInterval);
-    loop_.Run([this, &remaining] { remaining = scheduler_->jobs(); });
   }
+  refusing_jobs_ = true;
+  loop_.Run([this] { scheduler_->AbandonAll("stopping"); });
   // Give the connection threads time to send the last answers.
   SleepUntil(BootTimeNow() + kStopPollInterval);
 }
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -36,8 +36,9 @@
 
   absl::Status Start();
   void Reload(const platform::node_settings& settings);
-  /// Drains the entry: refuses new jobs after a delay and waits for running jobs to end.
-  /// @param limit maximum duration of the drain
+  /// Drains the entry: serves callers until the load balancer has taken it out of rotation and they
+  /// have gone to other entries, and refuses the jobs that would outlast it.
+  /// @param limit maximum duration of the drain; jobs that run longer are answered as abandoned
   void Stop(duration limit);
 
  private:
@@ -76,6 +77,8 @@
   http_response Cancel(const front_request& request);
   http_response JobState(const front_request& request);
   http_response AnswerReadiness() const;
+  /// @return whether the entry has no jobs and no caller has used it recently
+  bool IsQuiet();
   void RecordAnswer(const front_request& request, const job_answer& answer,
                     const request_times& times);
 
@@ -89,6 +92,8 @@
   std::atomic<bool> refusing_jobs_ = false;        ///< new jobs are refused
   std::atomic<bool> draining_ = false;             ///< the process was asked to stop
   std::atomic<bool> closing_connections_ = false;  ///< close each after its next answer
+  /// When a caller's request was last received or answered.
+  std::atomic<instant> last_front_activity_{};
   std::atomic<size_t> targets_in_use_ = 0;
   std::atomic<request_serial> next_serial_ = 1;
   std::atomic<uint64_t> refused_busy_ = 0;  ///< requests refused because of the loop's backlog
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -55,6 +55,40 @@
   uint16_t port_ = 0;
 };
 
+/// Caller that keeps its connection open between requests.
+class kept_connection {
+ public:
+  explicit kept_connection(uint16_t port) : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    VERIFY(connect(descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    constexpr timeval kTimeout{.tv_sec = 10, .tv_usec = 0};
+    VERIFY(setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &kTimeout, sizeof(kTimeout)) == 0);
+  }
+  ~kept_connection() { close(descriptor_); }
+  kept_connection(const kept_connection&) = delete;
+  kept_connection& operator=(const kept_connection&) = delete;
+
+  void Send() const {
+    std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    VERIFY(send(descriptor_, request.data(), request.size(), 0) ==
+           static_cast<ssize_t>(request.size()));
+  }
+  /// @return what has arrived; empty once the server has closed the connection
+  std::string Receive() const {
+    std::string text(4096, '\0');
+    ssize_t received = recv(descriptor_, text.data(), text.size(), 0);
+    VERIFY(received >= 0);
+    text.resize(static_cast<size_t>(received));
+    return text;
+  }
+
+ private:
+  int descriptor_;
+};
+
 void CheckError(const absl::StatusOr<http_response>& answer, http_error expected) {
   CHECK_FALSE(answer.ok());
   CHECK(ErrorOf<http_error>(answer.status()) == expected);
@@ -209,6 +243,32 @@
   CheckError(CallHttp({.url = Url(server->port(), "/")}), http_error::kConnectFailed);
 }
 
+// Callers of a server that is about to end would find their connection closed under a request.
+TEST(Http, ClosesIdleConnectionsAndAnswersOnTheOthers) {
+  std::latch begun{1};
+  std::latch released{1};
+  std::atomic<int> requests = 0;
+  auto server = Serve([&](const http_request&) {
+    if (requests++ == 1) {
+      begun.count_down();
+      released.wait();
+    }
+    return http_response{.status = 200, .headers = {}, .body = "answer"};
+  });
+  kept_connection idle(server->port());
+  idle.Send();
+  STRCMP_CONTAINS("answer", idle.Receive().c_str());
+  kept_connection busy(server->port());
+  busy.Send();
+  begun.wait();
+  server->CloseIdleConnections(duration::zero());
+  CHECK(idle.Receive().empty());
+  released.count_down();
+  STRCMP_CONTAINS("answer", busy.Receive().c_str());
+  busy.Send();
+  STRCMP_CONTAINS("answer", busy.Receive().c_str());
+}
+
 TEST(Http, ConnectionsBeyondTheLimitAreClosedWithoutAnswer) {
   std::latch inside(2);
   std::latch release(1);
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -400,4 +400,33 @@
   CHECK(answers.at(0).answer.outcome == job_outcome::kAbandoned);
 }
 
+// Replaced one after the other, entries are gone for seconds each; the others may be small.
+TEST(JobScheduler, ADrainingEntryTakesWhatEndsBeforeItself) {
+  AddTarget(1);
+  scheduler.DrainUntil(kStart + Ms(1000));
+  scheduler.Submit(1, Job("a"), now);
+  CHECK(answers.empty());
+  now = kStart + Ms(990);
+  scheduler.OnReport(1, Serving(), now);
+  scheduler.Submit(2, Job("b"), now);
+  CHECK_EQUAL(1, answers.size());
+  CHECK(answers[0].answer.outcome == job_outcome::kRefused);
+  STRCMP_EQUAL("stopping", answers[0].answer.reason.c_str());
+}
+
+TEST(JobScheduler, AnEntryThatEndsAnswersEveryJob) {
+  AddTarget(1);
+  scheduler.Submit(1, Job("a"), now);
+  scheduler.Place(now);
+  scheduler.Submit(2, Job("b"), now);
+  scheduler.AbandonAll("stopping");
+  CHECK_EQUAL(2, answers.size());
+  auto answer_to = [this](request_serial serial) {
+    return std::ranges::find(answers, serial, &received_answer::serial)->answer.outcome;
+  };
+  CHECK(answer_to(1) == job_outcome::kAbandoned);
+  CHECK(answer_to(2) == job_outcome::kRefused);
+  CHECK_EQUAL(0, scheduler.jobs());
+}
+
 }  // namespace wagtail::leased
--- a/tests/session/session_codec_test.cc
+++ b/tests/session/session_codec_test.cc
@@ -80,4 +80,30 @@
   DOUBLES_EQUAL(1.5, back.load.slowness, 1e-9);
 }
 
+TEST(SessionCodec, CarriesTheBuildOfAnAgent) {
+  capnp::MallocMessageBuilder message;
+  agent_identity agent{.name = "a",
+                       .address = "10.0.0.1:1",
+                       .domain = "north",
+                       .build = {.protocols = {.oldest = 2, .newest = 5}, .build = "0.2.0 abc"}};
+  auto written = message.initRoot<session_wire::Hello>();
+  Write(agent, written);
+  agent_identity read = Read(written.asReader());
+  CHECK(read.build.protocols == agent.build.protocols);
+  STRCMP_EQUAL("0.2.0 abc", read.build.build.c_str());
+}
+
+TEST(SessionCodec, APeerThatStatesNoBuildSpeaksTheFirstProtocol) {
+  capnp::MallocMessageBuilder message;
+  message.initRoot<session_wire::Hello>().setAgent("a");
+  agent_identity read = Read(message.getRoot<session_wire::Hello>().asReader());
+  CHECK(read.build.protocols == (protocol_range{.oldest = 1, .newest = 1}));
+}
+
+TEST(SessionCodec, EndsSpeakTheNewestProtocolThatBothKnow) {
+  CHECK(CommonProtocol({.oldest = 1, .newest = 3}, {.oldest = 2, .newest = 5}) == 3U);
+  CHECK(CommonProtocol({.oldest = 2, .newest = 5}, {.oldest = 1, .newest = 2}) == 2U);
+  CHECK(!CommonProtocol({.oldest = 1, .newest = 2}, {.oldest = 3, .newest = 4}).has_value());
+}
+
 }  // namespace wagtail::leased
--- a/tests/session/session_loopback_test.cc
+++ b/tests/session/session_loopback_test.cc
@@ -1,10 +1,16 @@
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <iterator>
 #include <thread>
 
 #include "rpc/connection_listener.h"
 #include "session/agent_sessions.h"
 #include "session/entry_links.h"
+#include "session/session_codec.h"
 
 // Last, since its macros must not reach other headers.
 #include <CppUTest/TestHarness.h>
@@ -30,6 +36,7 @@
 
 /// Entry side of a session that records its events.
 struct entry_end {
+  peer_build build{.protocols = kSessionProtocols, .build = "entry"};
   operating_plan plan{};
   std::vector<session_id> opened{};
   std::vector<session_id> closed{};
@@ -62,7 +69,7 @@
     };
     hooks.entries = [this]() -> const std::vector<std::string>& { return entries; };
     hooks.entry_reported = [this](const std::string& entry) { entries.push_back(entry); };
-    loop.Run([&] { sessions = std::make_unique<agent_sessions>(loop, hooks); });
+    loop.Run([&] { sessions = std::make_unique<agent_sessions>(loop, build, hooks); });
     auto accept = [this](kj::Own<kj::AsyncIoStream> connection) {
       sessions->Accept(kj::mv(connection));
     };
@@ -196,4 +203,124 @@
   });
 }
 
+TEST(SessionLoopback, ADrainingEntryIsReplacedWhileItsSessionGoesOn) {
+  std::array<entry_end, link_limits{}.max_sessions> others;
+  for (entry_end& other : others) {
+    other.Listen(*loop);
+    loop->Run([&] { agent.links->AddEntry(other.address); });
+  }
+  size_t limit = link_limits{}.max_sessions;
+  CHECK(Until([&] { return agent.links->ConnectedEntries().size() == limit; }));
+  std::vector<entry_end*> all{&entry};
+  std::ranges::transform(others, std::back_inserter(all), [](entry_end& other) { return &other; });
+  auto draining = std::ranges::find_if(all, [&](const entry_end* each) {
+    return std::ranges::count(agent.links->ConnectedEntries(), each->address) == 1;
+  });
+  loop->Run([&] { (*draining)->sessions->AnnounceDraining(); });
+  CHECK(Until([&] { return agent.links->ConnectedEntries().size() == limit + 1; }));
+  CHECK((*draining)->closed.empty());
+  loop->Run([&] {
+    agent.links.reset();
+    for (entry_end& other : others) {
+      other.server.reset();
+      other.sessions.reset();
+    }
+  });
+}
+
+namespace {
+
+/// Sends raw messages of an agent, and counts what the entry sends back.
+struct raw_agent {
+  std::shared_ptr<message_stream> stream{};
+  unsigned messages = 0;
+  bool ended = false;
+
+  void Connect(event_loop& loop, const std::string& address) {
+    loop.Run([&] {
+      loop.Detach(loop.provider()
+                      .getNetwork()
+                      .parseAddress(address)
+                      .then([](kj::Own<kj::NetworkAddress> parsed) {
+                        auto connection = parsed->connect();
+                        return connection.attach(kj::mv(parsed));
+                      })
+                      .then([this, &loop](kj::Own<kj::AsyncIoStream> connection) {
+                        stream = message_stream::Open(
+                            loop, kj::mv(connection),
+                            {.message = [this](capnp::MessageReader&) { ++messages; },
+                             .ended = [this](const std::string&) { ended = true; }});
+                      }));
+    });
+    CHECK(Eventually(loop, [this] { return stream != nullptr; }));
+  }
+  void SayHello(event_loop& loop, const peer_build& build) const {
+    loop.Run([&] {
+      capnp::MallocMessageBuilder message;
+      auto hello = message.initRoot<session_wire::ToEntry>().initHello();
+      Write(agent_identity{.name = "b", .address = "10.0.0.2:1", .build = build}, hello);
+      stream->Send(message);
+    });
+  }
+  /// Sends a kind of message that the schema does not have.
+  void SendUnknownKind(event_loop& loop) const {
+    loop.Run([&] {
+      constexpr uint16_t kUnknownKind = 77;
+      capnp::MallocMessageBuilder message;
+      message.initRoot<session_wire::ToEntry>().initReport();
+      kj::Array<capnp::word> flat = capnp::messageToFlatArray(message);
+      // Segment table and root pointer take a word each; the kind is in the first data word.
+      flat.asBytes()[2 * sizeof(capnp::word)] = kUnknownKind;
+      capnp::FlatArrayMessageReader changed(flat);
+      capnp::MallocMessageBuilder copy;
+      copy.setRoot(changed.getRoot<session_wire::ToEntry>());
+      stream->Send(copy);
+    });
+  }
+  void Close(event_loop& loop) {
+    loop.Run([this] { message_stream::Close(std::exchange(stream, nullptr)); });
+  }
+};
+
+}  // namespace
+
+TEST(SessionLoopback, AnEntryRefusesAnAgentWithoutACommonProtocol) {
+  raw_agent other;
+  other.Connect(*loop, entry.address);
+  other.SayHello(*loop, {.protocols = {.oldest = 98, .newest = 99}, .build = "future"});
+  CHECK(Eventually(*loop, [&] { return other.ended; }));
+  CHECK_EQUAL(1, entry.opened.size());
+  other.Close(*loop);
+}
+
+TEST(SessionLoopback, AnAgentRefusesAnEntryWithoutACommonProtocol) {
+  entry_end other;
+  other.build.protocols = {.oldest = 98, .newest = 99};
+  other.Listen(*loop);
+  loop->Run([&] { agent.links->AddEntry(other.address); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  CHECK(Until([&] { return agent.links->ConnectedEntries().size() == 1; }));
+  CHECK_EQUAL(1, agent.opened.size());
+  CHECK(other.opened.empty());
+  loop->Run([&] {
+    agent.links.reset();
+    other.server.reset();
+    other.sessions.reset();
+  });
+}
+
+// A newer agent may send kinds of messages that this entry does not know.
+TEST(SessionLoopback, AnUnknownKindOfMessageIsIgnored) {
+  raw_agent other;
+  other.Connect(*loop, entry.address);
+  other.SayHello(*loop, {.protocols = {.oldest = 1, .newest = 99}, .build = "future"});
+  CHECK(Eventually(*loop, [&] { return entry.opened.size() == 2; }));
+  other.SendUnknownKind(*loop);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  other.SayHello(*loop, {.protocols = {.oldest = 1, .newest = 99}, .build = "future"});
+  CHECK(Eventually(*loop, [&] { return entry.opened.size() == 3; }));
+  CHECK(!other.ended);
+  other.Close(*loop);
+}
+
 }  // namespace wagtail::leased
--- a/utilities/wagtailctl/command_line.cc
+++ b/utilities/wagtailctl/command_line.cc
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <limits>
 #include <string_view>
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr int64_t kMaxTimeoutSeconds = 3600;
+constexpr int64_t kMaxIntervalMs = 3600 * 1000;
 constexpr size_t kMaxJobIdBytes = 256;
 
 struct raw_arguments {
@@ -95,6 +97,11 @@
       ->check(CLI::ExistingFile);
 }
 
+void AddLogs(CLI::App* command, raw_arguments& raw) {
+  command->add_option("LOG", raw.line.logs, "log files (default: standard input)")
+      ->check(CLI::ExistingFile);
+}
+
 void AddSubject(CLI::App* command, raw_arguments& raw) {
   command->add_option("KIND", raw.subject_kind, "domain or target")
       ->required()
@@ -140,8 +147,16 @@
   explain->add_option("ID", raw.line.job, "id of the job")
       ->required()
       ->check(CLI::Validator(CheckJob, "ID"));
-  explain->add_option("LOG", raw.line.logs, "log files (default: standard input)")
-      ->check(CLI::ExistingFile);
+  AddLogs(explain, raw);
+  CLI::App* losses = AddCommand(app, raw, command_name::kLosses, "losses",
+                                "list the jobs not served in time by cause, from entries' logs");
+  AddLogs(losses, raw);
+  losses->add_option("--interval-ms", raw.line.interval_ms, "time per row (default 1000)")
+      ->check(CLI::Range(int64_t{1}, kMaxIntervalMs));
+  losses->add_option("--svg", raw.line.svg_file, "also draw the table into this file");
+  AddLogs(AddCommand(app, raw, command_name::kFleet, "fleet",
+                     "list processes and their builds, from log files"),
+          raw);
   AddCommand(app, raw, command_name::kAudit, "audit", "list the changes of configuration")
       ->add_option("--after", raw.line.version, "only changes that made later versions")
       ->check(CLI::Validator(CheckVersion, "VERSION"));
@@ -159,6 +174,12 @@
   }
 }
 
+bool NeedsEntry(command_name command) {
+  constexpr std::array kOffline = {command_name::kCheck, command_name::kExplain,
+                                   command_name::kLosses, command_name::kFleet};
+  return std::ranges::find(kOffline, command) == kOffline.end();
+}
+
 bool HasOption(const CLI::App& app, const std::string& name) {
   return std::ranges::any_of(app.get_subcommands(), [&](const CLI::App* command) {
     const CLI::Option* option = command->get_option_no_throw(name);
@@ -202,8 +223,7 @@
     return app.exit(error, out, err) == 0 ? exit_code::kDone : exit_code::kUsage;
   }
   const command_line line = BuildCommandLine(app, raw);
-  bool needs_entry = line.command != command_name::kCheck && line.command != command_name::kExplain;
-  if (line.entries.empty() && needs_entry) {
+  if (line.entries.empty() && NeedsEntry(line.command)) {
     err << "--entry is required for this command\nRun with --help for more information.\n";
     return exit_code::kUsage;
   }
--- a/utilities/wagtailctl/command_line.h
+++ b/utilities/wagtailctl/command_line.h
@@ -33,6 +33,8 @@
   kCancel,
   kAudit,
   kExplain,
+  kLosses,
+  kFleet,
 };
 
 /// The parsed command line.
@@ -47,7 +49,9 @@
   std::string subject;                         ///< of leave and return
   change_kind kind = change_kind::kApplyText;  ///< of apply, leave and return
   std::string job;                             ///< of cancel and explain
-  std::vector<std::string> logs;               ///< of explain; empty: standard input
+  std::vector<std::string> logs;               ///< of explain, losses, fleet; empty: standard input
+  std::string svg_file;                        ///< of losses; empty: no picture
+  int64_t interval_ms = 1000;                  ///< of losses
   uint64_t version = 0;                        ///< of wait; of audit, lists only later versions
   std::optional<uint64_t> base_version;        ///< of apply, leave and return
   std::string change_id;                       ///< of apply, leave and return; empty: generated
--- a/utilities/wagtailctl/commands.cc
+++ b/utilities/wagtailctl/commands.cc
@@ -18,7 +18,9 @@
 #include "settings/settings_text.h"
 #include "utilities/wagtailctl/answer_table.h"
 #include "utilities/wagtailctl/change_commands.h"
+#include "utilities/wagtailctl/fleet_report.h"
 #include "utilities/wagtailctl/job_timeline.h"
+#include "utilities/wagtailctl/loss_report.h"
 
 namespace wagtail {
 
@@ -99,9 +101,9 @@
   }
 }
 
-/// Runs explain, which needs no entry, only logs.
-absl::Status RunExplain(const command_line& line, command_context& context) {
-  timeline_reader reader(line.job);
+/// Passes all logs of the command line to a reader.
+template <typename Reader>
+void ReadLogs(const command_line& line, command_context& context, Reader& reader) {
   if (line.logs.empty()) {
     reader.Read(context.in, "standard input");
   }
@@ -109,6 +111,12 @@
     std::ifstream log(file);
     reader.Read(log, std::filesystem::path(file).stem().string());
   }
+}
+
+/// Runs explain, which needs no entry, only logs.
+absl::Status RunExplain(const command_line& line, command_context& context) {
+  timeline_reader reader(line.job);
+  ReadLogs(line, context, reader);
   const job_timeline timeline = reader.Timeline();
   if (line.form == output_form::kHuman) {
     PrintTimeline(timeline, context.out);
@@ -126,6 +134,60 @@
   return absl::OkStatus();
 }
 
+nlohmann::json LossesToJson(const loss_table& table) {
+  nlohmann::json intervals = nlohmann::json::array();
+  for (const loss_interval& interval : table.intervals) {
+    intervals.push_back(
+        {{"begin", absl::FormatTime(absl::RFC3339_full, interval.begin, absl::UTCTimeZone())},
+         {"in_time", interval.in_time},
+         {"lost", interval.lost}});
+  }
+  return {{"intervals", intervals},
+          {"by_queue", table.by_queue},
+          {"in_time", table.in_time},
+          {"total", table.total}};
+}
+
+/// Runs losses, which needs no entry, only logs.
+absl::Status RunLosses(const command_line& line, command_context& context) {
+  loss_reader reader(absl::Milliseconds(line.interval_ms));
+  ReadLogs(line, context, reader);
+  const loss_table table = reader.Table();
+  if (!line.svg_file.empty()) {
+    std::ofstream svg(line.svg_file);
+    svg << LossSvg(table);
+    svg.close();
+    if (!svg) {
+      return absl::UnknownError("can't write " + line.svg_file);
+    }
+  }
+  if (line.form == output_form::kHuman) {
+    context.out << LossText(table);
+  } else {
+    context.out << LossesToJson(table).dump() << "\n";
+  }
+  return absl::OkStatus();
+}
+
+/// Runs fleet, which needs no entry, only logs.
+absl::Status RunFleet(const command_line& line, command_context& context) {
+  fleet_reader reader;
+  ReadLogs(line, context, reader);
+  if (line.form == output_form::kHuman) {
+    context.out << FleetText(reader.members());
+    return absl::OkStatus();
+  }
+  nlohmann::json members = nlohmann::json::object();
+  for (const auto& [vm, member] : reader.members()) {
+    members[vm] = {{"program", member.program},
+                   {"version", member.version},
+                   {"commit", member.commit},
+                   {"protocol", member.protocol}};
+  }
+  context.out << members.dump() << "\n";
+  return absl::OkStatus();
+}
+
 nlohmann::json DifferenceToJson(const configuration_difference& difference) {
   nlohmann::json row = {{"path", difference.path}};
   switch (difference.kind) {
@@ -218,6 +280,8 @@
       return RunCancel(line, budget, client, context);
     case command_name::kCheck:
     case command_name::kExplain:
+    case command_name::kLosses:
+    case command_name::kFleet:
       break;
   }
   VERIFY_NOT_REACHED();
@@ -252,6 +316,10 @@
       return RunCheck(line, context);
     case command_name::kExplain:
       return RunExplain(line, context);
+    case command_name::kLosses:
+      return RunLosses(line, context);
+    case command_name::kFleet:
+      return RunFleet(line, context);
     default:
       return RunWithEntries(line, context);
   }
--- a/utilities/wagtailctl/job_timeline.cc
+++ b/utilities/wagtailctl/job_timeline.cc
@@ -74,47 +74,28 @@
 }  // namespace
 
 void timeline_reader::Read(std::istream& log, const std::string& name) {
-  std::string process = name;
-  for (std::string line; std::getline(log, line);) {
-    ReadLine(line, process);
-  }
+  ReadLogLines(log, name, [this](const log_line& line) { Take(line); });
 }
 
-void timeline_reader::ReadLine(std::string_view text, std::string& process) {
-  size_t json_start = text.find('{');
-  if (json_start == std::string_view::npos) {
-    return;
-  }
-  json fact = json::parse(text.substr(json_start), nullptr, false);
-  if (!fact.is_object() || !fact.contains("fact") || !fact.contains("time")) {
-    return;
-  }
-  if (fact.contains("vm")) {
-    process = Value(fact["vm"]);
-  }
-  std::string_view prefix = text.substr(0, text.find_last_not_of(" :|\t", json_start - 1) + 1);
-  size_t word = prefix.find_last_of(" \t");
-  std::string prefix_name(json_start == 0 ? std::string_view() : prefix.substr(word + 1));
-  std::string task = fact.contains("task") ? Value(fact["task"]) : "";
-  bool of_job =
-      (fact.contains("job") && Value(fact["job"]) == job_) || task.starts_with(job_ + ".");
-  if (!of_job && fact.contains("job")) {
+void timeline_reader::Take(const log_line& line) {
+  bool of_job = line.Text("job") == job_ || line.Text("task").starts_with(job_ + ".");
+  if (!of_job && line.fields.contains("job")) {
     return;
   }
-  lines_.push_back({.time = Value(fact["time"]),
-                    .process = prefix_name.empty() ? process : prefix_name,
-                    .fact = Value(fact["fact"]),
-                    .fields = FieldsOf(fact),
-                    .outcome = fact.contains("outcome") ? Value(fact["outcome"]) : "",
-                    .reason = fact.contains("reason") ? Value(fact["reason"]) : "",
+  lines_.push_back({.time = line.Text("time"),
+                    .process = line.process,
+                    .fact = line.Text("fact"),
+                    .fields = FieldsOf(line.fields),
+                    .outcome = line.Text("outcome"),
+                    .reason = line.Text("reason"),
                     .of_job = of_job});
 }
 
 job_timeline timeline_reader::Timeline() const {
-  std::vector<log_line> sorted = lines_;
-  std::ranges::stable_sort(sorted, {}, &log_line::time);
-  std::vector<log_line> own;
-  std::ranges::copy_if(sorted, std::back_inserter(own), &log_line::of_job);
+  std::vector<read_line> sorted = lines_;
+  std::ranges::stable_sort(sorted, {}, &read_line::time);
+  std::vector<read_line> own;
+  std::ranges::copy_if(sorted, std::back_inserter(own), &read_line::of_job);
   job_timeline timeline;
   if (own.empty()) {
     timeline.conclusion =
@@ -124,11 +105,11 @@
   std::set<std::string> involved;
   absl::Time first = TimeOf(own.front().time);
   absl::Time last = first;
-  for (const log_line& line : own) {
+  for (const read_line& line : own) {
     involved.insert(line.process);
     last = std::max(last, TimeOf(line.time));
   }
-  for (const log_line& line : sorted) {
+  for (const read_line& line : sorted) {
     absl::Time when = TimeOf(line.time);
     bool is_context = involved.contains(line.process) && when >= first - kMaxTimeBeforeJob &&
                       when <= last + kMaxTimeAfterJob;
@@ -145,8 +126,8 @@
   return timeline;
 }
 
-void timeline_reader::SetConclusion(const std::vector<log_line>& lines, job_timeline& timeline) {
-  auto answered = std::ranges::find(lines.rbegin(), lines.rend(), "job_answered", &log_line::fact);
+void timeline_reader::SetConclusion(const std::vector<read_line>& lines, job_timeline& timeline) {
+  auto answered = std::ranges::find(lines.rbegin(), lines.rend(), "job_answered", &read_line::fact);
   if (answered == lines.rend()) {
     timeline.conclusion = absl::StrCat("no answer on record; the last line is ", lines.back().fact,
                                        " by ", lines.back().process, " at ", lines.back().time);
@@ -161,7 +142,7 @@
     timeline.remedy = match->remedy;
   }
   if (answered->outcome == "completed") {
-    auto failed_run = std::ranges::find_if(lines, [](const log_line& line) {
+    auto failed_run = std::ranges::find_if(lines, [](const read_line& line) {
       return line.fact == "run_ended" && line.outcome != "done";
     });
     if (failed_run != lines.end()) {
--- a/utilities/wagtailctl/job_timeline.h
+++ b/utilities/wagtailctl/job_timeline.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "utilities/wagtailctl/log_line.h"
+
 /// @file
 /// Reconstructs the timeline of one job from the logs of entries and agents.
 
@@ -27,8 +29,7 @@
   std::string remedy;                 ///< advice to the operator; empty if there is none
 };
 
-/// Collects the lines about a job from logs. Text before the JSON of a line is skipped; its last
-/// word is taken as the name of the process.
+/// Collects the lines about a job from logs.
 class timeline_reader {
  public:
   explicit timeline_reader(std::string_view job) : job_(job) {}
@@ -39,7 +40,7 @@
   job_timeline Timeline() const;
 
  private:
-  struct log_line {
+  struct read_line {
     std::string time;
     std::string process;
     std::string fact;
@@ -48,11 +49,11 @@
     std::string reason;
     bool of_job = false;
   };
-  void ReadLine(std::string_view text, std::string& process);
-  static void SetConclusion(const std::vector<log_line>& lines, job_timeline& timeline);
+  void Take(const log_line& line);
+  static void SetConclusion(const std::vector<read_line>& lines, job_timeline& timeline);
 
   std::string job_;
-  std::vector<log_line> lines_;
+  std::vector<read_line> lines_;
 };
 
 }  // namespace wagtail
