--- a/tests/fault_soak/fault_soak_test.cc
+++ b/tests/fault_soak/fault_soak_test.cc
@@ -14,6 +14,23 @@
   return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
 }
 
+std::string TextFromEnvironment(const char* name) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? "" : text;
+}
+
+/// The builds that meta/check_upgrade.sh asks for.
+soak_builds BuildsFromEnvironment() {
+  using enum soak_builds::replacement;
+  std::string order = TextFromEnvironment("WAGTAIL_SOAK_REPLACE");
+  return {.entries = TextFromEnvironment("WAGTAIL_SOAK_ENTRY_BIN"),
+          .agents = TextFromEnvironment("WAGTAIL_SOAK_AGENT_BIN"),
+          .next = TextFromEnvironment("WAGTAIL_SOAK_NEXT_BIN"),
+          .replace = order == "entries"  ? kEntriesFirst
+                     : order == "agents" ? kAgentsFirst
+                                         : kNone};
+}
+
 /// Runs one seed and prints totals and violations.
 void RunSeed(const soak_options& options) {
   soak_cluster cluster(options);
@@ -46,6 +63,7 @@
   options.agents = FromEnvironment("WAGTAIL_SOAK_AGENTS", options.agents);
   options.callers = FromEnvironment("WAGTAIL_SOAK_CALLERS", options.callers);
   options.length = std::chrono::seconds(FromEnvironment("WAGTAIL_SOAK_SECONDS", 10));
+  options.builds = BuildsFromEnvironment();
   RunSeed(options);
 }
 
--- a/tests/fault_soak/soak_cluster.cc
+++ b/tests/fault_soak/soak_cluster.cc
@@ -32,6 +32,15 @@
 /// Same as in the platform's settings.
 constexpr duration kGrace = std::chrono::seconds(6);
 constexpr duration kEvacuationTime = std::chrono::seconds(5);
+/// Between the start of one replaced VM and the stop of the next.
+constexpr duration kReplacementPause = std::chrono::milliseconds(700);
+constexpr const char* kEntryProgram = "wagtail-dispatchd";
+constexpr const char* kAgentProgram = "wagtail-agentd";
+
+/// @param folder of the program; empty: $WAGTAIL_BIN
+std::string ProgramPath(const std::filesystem::path& folder, const char* program) {
+  return (folder / program).string();
+}
 
 std::string Domain(size_t number) { return absl::StrCat("zone-", number % kDomains); }
 
@@ -88,7 +97,7 @@
   for (size_t number = 0; number < options_.entries; ++number) {
     auto entry = std::make_unique<cluster_vm>();
     entry->name = absl::StrCat("entry-", number);
-    entry->program = "wagtail-dispatchd";
+    entry->program = ProgramPath(options_.builds.entries, kEntryProgram);
     entry->ip = absl::StrCat(prefix_, "2.", number + 1);
     entry->domain = Domain(number);
     entry->sessions = std::make_unique<tcp_relay>(
@@ -99,7 +108,7 @@
   for (size_t number = 0; number < options_.agents; ++number) {
     auto agent = std::make_unique<cluster_vm>();
     agent->name = absl::StrCat("agent-", number);
-    agent->program = "wagtail-agentd";
+    agent->program = ProgramPath(options_.builds.agents, kAgentProgram);
     agent->ip = absl::StrCat(prefix_, "3.", number + 1);
     agent->domain = Domain(number);
     agent->target = std::make_unique<soak_target>(
@@ -136,6 +145,10 @@
   RemovePartialLine(folder_ / (vm.name + ".out"));
   vm.process = std::make_unique<child_process>(vm.program, folder_, vm.name, SettingsOf(vm),
                                                settings_way::kNodeFile);
+  if (!options_.builds.next.empty()) {
+    bool is_entry = vm.target == nullptr;
+    vm.program = ProgramPath(options_.builds.next, is_entry ? kEntryProgram : kAgentProgram);
+  }
 }
 
 void soak_cluster::WriteConfiguration() {
@@ -292,6 +305,29 @@
   });
 }
 
+void soak_cluster::ReplaceEveryVm() {
+  std::vector<cluster_vm*> order;
+  for (auto* list : {&entries_, &agents_}) {
+    std::ranges::transform(*list, std::back_inserter(order),
+                           [](const auto& each) { return each.get(); });
+  }
+  if (options_.builds.replace == soak_builds::replacement::kAgentsFirst) {
+    std::ranges::reverse(order);
+  }
+  for (cluster_vm* vm : order) {
+    pid_t former_pid = vm->process->pid();
+    StopGracefully(*vm);
+    bool is_back = Eventually([&] {
+      RunDue();
+      return vm->process != nullptr && vm->process->pid() != former_pid;
+    });
+    if (!is_back) {
+      checker_.ReportViolation(vm->name + " did not come back after its replacement");
+    }
+    std::this_thread::sleep_for(kReplacementPause);
+  }
+}
+
 void soak_cluster::ChangeSettings(cluster_vm& vm) {
   LogFault("ChangeSettings", vm.name);
   if (vm.process == nullptr) {
@@ -468,13 +504,22 @@
       }
       std::vector<std::string> lines = absl::StrSplit(each->process->StandardOutput(), '\n');
       lines.pop_back();  // after the last newline: empty, or a line cut short by a kill
+      uint64_t plan_revision = 0;
       for (const std::string& line : lines) {
         json fact = json::parse(line, nullptr, false);
         bool valid = fact.is_object() && fact.value("time", "").size() == 27 &&
                      !fact.value("level", "").empty() && !fact.value("fact", "").empty();
         if (!valid) {
           checker_.ReportViolation("invalid log line of " + each->name + ": " + line);
+          continue;
+        }
+        std::string name = fact["fact"];
+        uint64_t revision = fact.value("revision", uint64_t{0});
+        if (name == "plan_taken" && revision < plan_revision) {
+          checker_.ReportViolation("plan of " + each->name + " went back: " + line);
         }
+        bool begins = name == "started";
+        plan_revision = begins ? 0 : std::max(plan_revision, revision);
       }
     }
   }
@@ -486,6 +531,9 @@
     callers_.push_back(std::make_unique<soak_caller>(random_(), FrontAddresses(), checker_));
     callers_.back()->RunOnThread();
   }
+  if (options_.builds.replace != soak_builds::replacement::kNone) {
+    ReplaceEveryVm();
+  }
   instant end = MonotonicNow() + options_.length;
   instant next = MonotonicNow();
   while (MonotonicNow() < end) {
--- a/tests/fault_soak/soak_cluster.h
+++ b/tests/fault_soak/soak_cluster.h
@@ -17,12 +17,23 @@
 
 namespace wagtail::leased {
 
+/// Folders of the programs, for runs in which builds of two versions work together. Empty:
+/// $WAGTAIL_BIN.
+struct soak_builds {
+  std::string entries{};  ///< of the entries at their first start
+  std::string agents{};   ///< of the agents at their first start
+  std::string next{};     ///< of every process from its second start on; empty: as at the first
+  /// Whether all VMs are replaced one after the other before the faults, and which come first.
+  enum class replacement { kNone, kEntriesFirst, kAgentsFirst } replace = replacement::kNone;
+};
+
 struct soak_options {
   uint64_t seed = 1;
   size_t entries = 3;
   size_t agents = 5;
   size_t callers = 8;
   duration length = std::chrono::seconds(10);  ///< of the phase with faults
+  soak_builds builds{};
 };
 
 /// Entries and agents as real processes on separate loopback addresses, with fake targets, a fake
@@ -43,7 +54,7 @@
  private:
   struct cluster_vm {
     std::string name;
-    std::string program;
+    std::string program;  ///< file name or absolute path, of the next start
     std::string ip;
     std::string domain;
     std::unique_ptr<child_process> process;
@@ -69,6 +80,8 @@
   void Kill(cluster_vm& vm);
   void Freeze(cluster_vm& vm);
   void StopGracefully(cluster_vm& vm);
+  /// Stops and starts one VM after the other under load.
+  void ReplaceEveryVm();
   void ChangeSettings(cluster_vm& vm);
   void CrashTarget(cluster_vm& agent);
   void DisturbLink(tcp_relay& link);
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -52,7 +52,8 @@
       errors_(folder / (name + ".err")) {
   const char* bin = std::getenv("WAGTAIL_BIN");
   VERIFY(bin != nullptr);
-  std::string path = std::string(bin) + "/" + program;
+  // An absolute path replaces the folder.
+  std::string path = (std::filesystem::path(bin) / program).string();
   std::ofstream(settings_path_) << settings;
   if (source == settings_way::kOption) {
     std::ofstream(output_) << "";  // drops the output of an earlier process of the same name
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -28,7 +28,7 @@
 /// Runs a program of $WAGTAIL_BIN with a settings file. The destructor kills it.
 class child_process {
  public:
-  /// @param program file name under $WAGTAIL_BIN
+  /// @param program file name under $WAGTAIL_BIN, or an absolute path
   /// @param folder of the settings and the output of the program
   /// @param name of the files in the folder
   /// @param settings text of the settings file
