A target that answers other calls is not unreachable after two lost renewals

Cause: two renewals in a row without an answer made a target unreachable, whatever else it answered.

Change: it must also have been silent to every call for 100 ms.

--- a/libraries/leases/run_controller.h
+++ b/libraries/leases/run_controller.h
@@ -58,8 +58,10 @@
   double failing_limit = 0.5;
   /// A failed renewal is tried again after this.
   duration renew_retry = std::chrono::milliseconds(50);
-  /// Number of consecutive failed renewals after which the target counts as unreachable.
+  /// The target counts as unreachable after this many failed renewals in a row, if it has answered
+  /// no call at all for `unreachable_after`: a target that loses single answers goes on to serve.
   unsigned failures_to_unreachable = 2;
+  duration unreachable_after = std::chrono::milliseconds(100);
   /// First fence; must be higher than that of every earlier agent of this VM.
   uint64_t fence = 1;
 };
@@ -129,7 +131,8 @@
     target_announcement announced;
     bool reachable = false;   ///< answers renewals; cleared when unreachable, lapsed or replaced
     bool taken_over = false;  ///< no runs of earlier agents are left on it
-    unsigned failures = 0;
+    unsigned failures = 0;    ///< failed renewals in a row
+    instant last_answer{};    ///< when any call was last answered
     uint64_t last_end = 0;
     instant last_result{};  ///< when a run was last reported as done or failed
   };
--- a/libraries/leases/target_answers.cc
+++ b/libraries/leases/target_answers.cc
@@ -32,6 +32,9 @@
   } else if (clock_ms.has_value() && answer != start_answer::kOtherIncarnation) {
     clock_.Observe(*clock_ms, now);
   }
+  if (answer != start_answer::kUnknown && incarnation_.has_value()) {
+    incarnation_->last_answer = now;
+  }
   auto found = runs_.find(serial);
   if (found == runs_.end() || found->second.state != run_state::kStarting) {
     return;  // already settled by a renewal or by the end of the target's incarnation
@@ -119,6 +122,7 @@
   }
   clock_.Observe(report.clock_ms, now);
   incarnation_->failures = 0;
+  incarnation_->last_answer = now;
   incarnation_->reachable = true;
   ProcessEnds(report, now);
   ReconcileRuns(serial, fence, report, now);
@@ -223,7 +227,9 @@
     incarnation_->reachable = false;
   }
   ++incarnation_->failures;
-  if (incarnation_->failures >= options_.failures_to_unreachable && incarnation_->reachable) {
+  bool answers = incarnation_->failures < options_.failures_to_unreachable ||
+                 now - incarnation_->last_answer < options_.unreachable_after;
+  if (!answers && incarnation_->reachable) {
     incarnation_->reachable = false;
     log_({.fact = "target_unreachable", .detail = incarnation_->announced.id});
     RefuseUnstartable(now);
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -415,4 +415,19 @@
   CHECK_EQUAL(41, renewals.back().last_end);
 }
 
+TEST(RunController, ATargetThatLosesSingleAnswersGoesOnToServe) {
+  Ready();
+  controller.Order(MakeOrder(1), now);
+  controller.OnStartAnswered(starts.at(0).serial, start_answer::kStarted, ClockMs(), now);
+  AnswerRenewal({RunOf(starts[0])});
+  for (unsigned lost = 0; lost < 2; ++lost) {
+    Advance(Ms(20));
+    controller.OnRenewFailed(renewals.back().serial, renew_failure::kNoAnswer, now);
+  }
+  CHECK(controller.Ready());
+  Advance(Ms(100));
+  controller.OnRenewFailed(renewals.back().serial, renew_failure::kNoAnswer, now);
+  CHECK(!controller.Ready());
+}
+
 }  // namespace wagtail::leased
