The course of an entry's drain is a decision of its own, without sockets or clocks

Cause: when a draining entry lets callers go and when it ends stood in the service among threads and sleeps, and could only be tested with processes.

Change: entry_drain (libraries/scheduler) decides, dispatch_service acts. Behaviour as before.

--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -11,6 +11,7 @@
 #include "metrics/process_metrics.h"
 #include "platform/job_json.h"
 #include "platform/node_services.h"
+#include "scheduler/entry_drain.h"
 #include "session/own_build.h"
 
 namespace wagtail::leased {
@@ -24,25 +25,12 @@
 constexpr duration kPlanPollTimeout = std::chrono::milliseconds(1000);
 /// An entry that no agent has reported for this long is no longer announced to agents.
 constexpr duration kEntryExpiry = std::chrono::seconds(10);
-/// The load balancer may keep sending connections for this long after a request to stop.
-constexpr duration kBalancerDrainTime = std::chrono::milliseconds(2000);
-/// A draining entry closes connections that callers have not used for this long.
-constexpr duration kIdleConnectionAge = std::chrono::milliseconds(500);
-/// A draining entry ends once no caller has used it for this long.
-constexpr duration kQuietPeriod = std::chrono::milliseconds(300);
 /// How long the caller's thread waits for the answer after the job's deadline.
 constexpr duration kAnswerGrace = std::chrono::seconds(2);
 constexpr std::array kAnswerSecondsBounds = {0.01, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0};
 
 constexpr duration kStopPollInterval = std::chrono::milliseconds(20);
 
-void SleepUntil(instant end) {
-  duration remaining = end - BootTimeNow();
-  if (remaining > duration::zero()) {
-    std::this_thread::sleep_for(remaining);
-  }
-}
-
 std::string_view OutcomeName(job_outcome outcome) {
   switch (outcome) {
     case job_outcome::kCompleted:
@@ -415,34 +403,31 @@
   // Agents connect to entries: nothing here depends on settings that can change at run time.
 }
 
-bool dispatch_service::IsQuiet() {
-  if (BootTimeNow() - last_front_activity_.load() < kQuietPeriod) {
-    return false;
-  }
+size_t dispatch_service::JobsInProgress() {
   size_t jobs = 0;
   loop_.Run([this, &jobs] { jobs = scheduler_->jobs(); });
-  return jobs == 0;
+  return jobs;
 }
 
 void dispatch_service::Stop(duration limit) {
-  instant begin = BootTimeNow();
-  instant end = begin + limit;
+  entry_drain drain({}, BootTimeNow(), limit);
   draining_ = true;
-  loop_.Run([this, end] {
-    scheduler_->DrainUntil(end);
+  loop_.Run([this, &drain] {
+    scheduler_->DrainUntil(drain.end());
     sessions_->AnnounceDraining();
   });
-  SleepUntil(begin + std::min(limit, kBalancerDrainTime));
-  // From now on a caller that reconnects reaches another entry.
-  closing_connections_ = true;
-  while (BootTimeNow() < end && !IsQuiet()) {
-    front_server_->CloseIdleConnections(kIdleConnectionAge);
-    SleepUntil(BootTimeNow() + kStopPollInterval);
+  while (!drain.IsOver(BootTimeNow(), last_front_activity_, JobsInProgress())) {
+    std::optional<duration> idle_age = drain.IdleAgeToClose(BootTimeNow());
+    if (idle_age.has_value()) {
+      closing_connections_ = true;
+      front_server_->CloseIdleConnections(*idle_age);
+    }
+    std::this_thread::sleep_for(kStopPollInterval);
   }
   refusing_jobs_ = true;
   loop_.Run([this] { scheduler_->AbandonAll("stopping"); });
   // Give the connection threads time to send the last answers.
-  SleepUntil(BootTimeNow() + kStopPollInterval);
+  std::this_thread::sleep_for(kStopPollInterval);
 }
 
 }  // namespace wagtail::leased
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -77,8 +77,7 @@
   http_response Cancel(const front_request& request);
   http_response JobState(const front_request& request);
   http_response AnswerReadiness() const;
-  /// @return whether the entry has no jobs and no caller has used it recently
-  bool IsQuiet();
+  size_t JobsInProgress();
   void RecordAnswer(const front_request& request, const job_answer& answer,
                     const request_times& times);
 
