--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -26,7 +26,7 @@
   instant hello_sent{};  ///< when the hello was sent
   instant last_answer{};
   instant last_report{};
-  uint64_t known_plan_revision = 0;  ///< newest that the entry is known to have
+  uint64_t known_plan_revision = 0;  ///< newest that the entry is entry to have
   uint64_t orders_seen = 0;
   instant last_order{};           ///< when the entry last sent an order in this session
   uint64_t rank = 0;              ///< entries with lower ranks are preferred
@@ -60,17 +60,17 @@
 }
 
 void entry_links::AddResult(const run_result& result) {
-  for (auto& [address, each] : links_) {
-    if (each->session == result.session) {
-      each->results.push_back(result);
+  for (auto& [address, entry] : links_) {
+    if (entry->session == result.session) {
+      entry->results.push_back(result);
     }
   }
 }
 
 std::vector<std::string> entry_links::ConnectedEntries() const {
   std::vector<std::string> open_entries;
-  for (const auto& [address, each] : links_) {
-    if (each->session != 0) {
+  for (const auto& [address, entry] : links_) {
+    if (entry->session != 0) {
       open_entries.push_back(address);
     }
   }
@@ -103,22 +103,22 @@
   auto connecting = loop_.timer()
                         .timeoutAfter(timeout.count() * kj::MICROSECONDS, kj::mv(connected))
                         .then([this, current_link](kj::Own<kj::AsyncIoStream> connection) {
-                          link* each = current_link();
-                          if (each != nullptr) {
-                            OnConnected(*each, kj::mv(connection));
+                          link* current = current_link();
+                          if (current != nullptr) {
+                            OnConnected(*current, kj::mv(connection));
                           }
                         });
   auto failed = [this, current_link](const std::string& why) {
-    link* each = current_link();
-    if (each != nullptr) {
-      Disconnect(*each, why);
+    link* current = current_link();
+    if (current != nullptr) {
+      Disconnect(*current, why);
     }
   };
   loop_.Detach(kj::mv(connecting),
                [failed](kj::Exception&& error) { failed(error.getDescription().cStr()); });
   loop_.After(options_.join_timeout, [current_link, failed] {
-    link* each = current_link();
-    if (each != nullptr && each->session == 0) {
+    link* current = current_link();
+    if (current != nullptr && current->session == 0) {
       failed("session not opened within the join timeout");
     }
   });
@@ -130,16 +130,16 @@
       message_stream::Open(loop_, kj::mv(connection),
                            {.message =
                                 [this, current_link](capnp::MessageReader& message) {
-                                  link* each = current_link();
-                                  if (each != nullptr) {
-                                    OnMessage(*each, message.getRoot<session_wire::ToAgent>());
+                                  link* current = current_link();
+                                  if (current != nullptr) {
+                                    OnMessage(*current, message.getRoot<session_wire::ToAgent>());
                                   }
                                 },
                             .ended =
                                 [this, current_link](const std::string& why) {
-                                  link* each = current_link();
-                                  if (each != nullptr) {
-                                    Disconnect(*each, why);
+                                  link* current = current_link();
+                                  if (current != nullptr) {
+                                    Disconnect(*current, why);
                                   }
                                 }});
   entry.hello_sent = hooks_.now();
@@ -204,8 +204,8 @@
 
 std::vector<entry_links::link*> entry_links::LinksByRank() {
   std::vector<link*> ranked;
-  for (auto& [address, each] : links_) {
-    ranked.push_back(each.get());
+  for (auto& [address, entry] : links_) {
+    ranked.push_back(entry.get());
   }
   std::ranges::sort(ranked, {}, &link::rank);
   return ranked;
@@ -213,27 +213,28 @@
 
 void entry_links::MaintainLinks(instant now) {
   std::erase_if(links_, [&](const auto& item) {
-    const link& each = *item.second;
-    return each.session == 0 && !each.is_connecting && now - each.last_seen > options_.entry_expiry;
+    const link& entry = *item.second;
+    return entry.session == 0 && !entry.is_connecting &&
+           now - entry.last_seen > options_.entry_expiry;
   });
   size_t kept = 0;
-  for (link* each : LinksByRank()) {
-    bool allowed = options_.limits.Allow(kept, SendsOrders(*each, now));
-    if (each->is_draining) {
+  for (link* entry : LinksByRank()) {
+    bool allowed = options_.limits.Allow(kept, SendsOrders(*entry, now));
+    if (entry->is_draining) {
       // Kept until the entry ends it, and already replaced by a session with another entry.
-      each->retired_since = {};
-    } else if (each->session != 0) {
+      entry->retired_since = {};
+    } else if (entry->session != 0) {
       ++kept;
       if (!allowed) {
-        Retire(*each, now);
+        Retire(*entry, now);
       } else {
-        each->retired_since = {};
+        entry->retired_since = {};
       }
-    } else if (each->is_connecting) {
+    } else if (entry->is_connecting) {
       ++kept;
-    } else if (allowed && each->backoff.IsDue(now)) {
+    } else if (allowed && entry->backoff.IsDue(now)) {
       ++kept;
-      Connect(*each);
+      Connect(*entry);
     }
   }
 }
@@ -272,16 +273,16 @@
 
 void entry_links::Flush() {
   instant now = hooks_.now();
-  for (auto& [address, each] : links_) {
-    if (each->session != 0 && now - each->last_answer > options_.heartbeat_timeout) {
-      Disconnect(*each, "silent");
+  for (auto& [address, entry] : links_) {
+    if (entry->session != 0 && now - entry->last_answer > options_.heartbeat_timeout) {
+      Disconnect(*entry, "silent");
     }
   }
   MaintainLinks(now);
   target_status load = hooks_.load();
-  for (auto& [address, each] : links_) {
-    if (each->session != 0 && IsReportDue(*each, load, now)) {
-      SendReport(*each, load, now);
+  for (auto& [address, entry] : links_) {
+    if (entry->session != 0 && IsReportDue(*entry, load, now)) {
+      SendReport(*entry, load, now);
     }
   }
 }
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -318,7 +318,8 @@
   std::optional<job_answer> answer = pending->Wait(request.http->socket, deadline + kAnswerGrace);
   if (!answer.has_value()) {
     loop_.Post([this, serial] {
-      std::erase_if(arrivals_, [serial](const arrival& each) { return each.serial == serial; });
+      std::erase_if(arrivals_,
+                    [serial](const arrival& waiting) { return waiting.serial == serial; });
       pending_answers_.erase(serial);
       scheduler_->CallerGone(serial);
       ScheduleTurn();
@@ -331,22 +332,23 @@
 }
 
 void dispatch_service::AdmitArrivals() {
-  for (arrival& each : std::exchange(arrivals_, {})) {
+  for (arrival& admitted : std::exchange(arrivals_, {})) {
     instant now = BootTimeNow();
-    duration queued = now - each.arrived;
+    duration queued = now - admitted.arrived;
     backlog_.OnWorkTaken(queued, now);
     // After this process was frozen, a request may be older than its caller's timeout, even one
     // that was read only now. The caller sends the job again, possibly to another entry, so it must
     // not be started here as well.
-    if (IsCallerGone(each.socket)) {
-      each.pending->SetAnswer({.outcome = job_outcome::kCancelled, .reason = "caller_gone_before"});
+    if (IsCallerGone(admitted.socket)) {
+      admitted.pending->SetAnswer(
+          {.outcome = job_outcome::kCancelled, .reason = "caller_gone_before"});
       continue;
     }
     load_monitor_.OnJobAdmitted(queued);
-    each.pending->OnAdmitted(queued);
-    pending_answers_[each.serial] = std::move(each.pending);
-    each.submission.queued = queued;
-    scheduler_->Submit(each.serial, std::move(each.submission), now);
+    admitted.pending->OnAdmitted(queued);
+    pending_answers_[admitted.serial] = std::move(admitted.pending);
+    admitted.submission.queued = queued;
+    scheduler_->Submit(admitted.serial, std::move(admitted.submission), now);
   }
 }
 
