A stopping entry refuses what arrives while it ends, and waits for its last answers

Cause: read in the diff: a request that passed the filters just before the end of a drain was admitted after all jobs had been answered, and lost its connection without an answer; and the process ended 20 ms later whether or not connection threads had written theirs.

Change: the drain counts requests of callers, not jobs; at its end arrivals are admitted into a scheduler that refuses them, and the process waits up to 200 ms for answers. A broken comment and an unused constant are mended.

--- a/libraries/scheduler/entry_drain.h
+++ b/libraries/scheduler/entry_drain.h
@@ -18,7 +18,7 @@
     duration balancer_time = std::chrono::milliseconds(2000);
     /// A connection that was not used for this long is closed between two requests.
     duration idle_connection_age = std::chrono::milliseconds(500);
-    /// The entry ends once it has had no job and no request for this long.
+    /// The entry ends once it has had no request for this long.
     duration quiet_period = std::chrono::milliseconds(300);
   };
 
@@ -36,10 +36,10 @@
     return is_out_of_rotation ? std::optional(options_.idle_connection_age) : std::nullopt;
   }
   /// @param last_activity when a request was last received or answered
-  /// @param jobs in progress
+  /// @param requests in progress
   /// @return whether the entry is to end now
-  bool IsOver(instant now, instant last_activity, size_t jobs) const {
-    bool is_quiet = jobs == 0 && now - last_activity >= options_.quiet_period;
+  bool IsOver(instant now, instant last_activity, size_t requests) const {
+    bool is_quiet = requests == 0 && now - last_activity >= options_.quiet_period;
     return now >= end_ || (IdleAgeToClose(now).has_value() && is_quiet);
   }
 
--- a/libraries/scheduler/session_protocol.h
+++ b/libraries/scheduler/session_protocol.h
@@ -16,8 +16,6 @@
 
 /// Versions that this build speaks. Version 1 is that of peers that state none.
 inline constexpr protocol_range kSessionProtocols{.oldest = 1, .newest = 2};
-/// From this version on an entry tells its agents that it is draining.
-inline constexpr unsigned kProtocolWithDraining = 2;
 
 /// @return the newest version that both ends speak, or nothing if there is none
 constexpr std::optional<unsigned> CommonProtocol(const protocol_range& ours,
--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -26,7 +26,7 @@
   instant hello_sent{};  ///< when the hello was sent
   instant last_answer{};
   instant last_report{};
-  uint64_t known_plan_revision = 0;  ///< newest that the entry is entry to have
+  uint64_t known_plan_revision = 0;  ///< newest that the entry is known to have
   uint64_t orders_seen = 0;
   instant last_order{};           ///< when the entry last sent an order in this session
   uint64_t rank = 0;              ///< entries with lower ranks are preferred
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -30,6 +30,8 @@
 constexpr std::array kAnswerSecondsBounds = {0.01, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0};
 
 constexpr duration kStopPollInterval = std::chrono::milliseconds(20);
+/// At the end of a drain, how long connection threads may take to write the last answers.
+constexpr duration kMaxAnswerTime = std::chrono::milliseconds(200);
 
 std::string_view OutcomeName(job_outcome outcome) {
   switch (outcome) {
@@ -88,9 +90,10 @@
   ready_server_ = TRY(platform::ServeAt(
       settings_.ready, [this](const http_request& /*request*/) { return AnswerReadiness(); }));
   front_server_ = TRY(platform::ServeAt(settings_.front, [this](const http_request& request) {
-    last_front_activity_ = BootTimeNow();
+    ++requests_in_progress_;
     http_response response = RunFrontFilters(filters_, request);
-    last_front_activity_ = BootTimeNow();
+    last_request_ = BootTimeNow();
+    --requests_in_progress_;
     if (ShouldCloseConnection()) {
       response.headers["connection"] = "close";
     }
@@ -405,12 +408,6 @@
   // Agents connect to entries: nothing here depends on settings that can change at run time.
 }
 
-size_t dispatch_service::JobsInProgress() {
-  size_t jobs = 0;
-  loop_.Run([this, &jobs] { jobs = scheduler_->jobs(); });
-  return jobs;
-}
-
 void dispatch_service::Stop(duration limit) {
   entry_drain drain({}, BootTimeNow(), limit);
   draining_ = true;
@@ -418,7 +415,7 @@
     scheduler_->DrainUntil(drain.end());
     sessions_->AnnounceDraining();
   });
-  while (!drain.IsOver(BootTimeNow(), last_front_activity_, JobsInProgress())) {
+  while (!drain.IsOver(BootTimeNow(), last_request_, requests_in_progress_)) {
     std::optional<duration> idle_age = drain.IdleAgeToClose(BootTimeNow());
     if (idle_age.has_value()) {
       closing_connections_ = true;
@@ -427,7 +424,16 @@
     std::this_thread::sleep_for(kStopPollInterval);
   }
   refusing_jobs_ = true;
-  loop_.Run([this] { scheduler_->AbandonAll("stopping"); });
+  loop_.Run([this] {
+    // Requests that passed the check of refusing_jobs_ before are refused on admission.
+    scheduler_->DrainUntil(BootTimeNow());
+    AdmitArrivals();
+    scheduler_->AbandonAll("stopping");
+  });
+  instant answers_due = BootTimeNow() + kMaxAnswerTime;
+  while (requests_in_progress_ > 0 && BootTimeNow() < answers_due) {
+    std::this_thread::sleep_for(kStopPollInterval);
+  }
   // Give the connection threads time to send the last answers.
   std::this_thread::sleep_for(kStopPollInterval);
 }
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -77,7 +77,6 @@
   http_response Cancel(const front_request& request);
   http_response JobState(const front_request& request);
   http_response AnswerReadiness() const;
-  size_t JobsInProgress();
   void RecordAnswer(const front_request& request, const job_answer& answer,
                     const request_times& times);
 
@@ -91,8 +90,8 @@
   std::atomic<bool> refusing_jobs_ = false;        ///< new jobs are refused
   std::atomic<bool> draining_ = false;             ///< the process was asked to stop
   std::atomic<bool> closing_connections_ = false;  ///< close each after its next answer
-  /// When a caller's request was last received or answered.
-  std::atomic<instant> last_front_activity_{};
+  std::atomic<size_t> requests_in_progress_ = 0;   ///< of callers
+  std::atomic<instant> last_request_{};            ///< when a caller was last answered
   std::atomic<size_t> targets_in_use_ = 0;
   std::atomic<request_serial> next_serial_ = 1;
   std::atomic<uint64_t> refused_busy_ = 0;  ///< requests refused because of the loop's backlog
