Two findings of the linter in wagtailctl

Cause: clang-tidy 14 takes no parenthesised aggregate, and a product of ints was widened. Change: spelled out.

--- a/utilities/wagtailctl/command_line.cc
+++ b/utilities/wagtailctl/command_line.cc
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr int64_t kMaxTimeoutSeconds = 3600;
-constexpr int64_t kMaxIntervalMs = 3600 * 1000;
+constexpr int64_t kMaxIntervalMs = int64_t{3600} * 1000;
 constexpr size_t kMaxJobIdBytes = 256;
 
 struct raw_arguments {
--- a/utilities/wagtailctl/loss_report.cc
+++ b/utilities/wagtailctl/loss_report.cc
@@ -41,6 +41,7 @@
 
 std::string CausesText(const std::map<std::string, uint64_t>& causes) {
   std::vector<std::pair<uint64_t, std::string>> sorted;
+  sorted.reserve(causes.size());
   for (const auto& [cause, count] : causes) {
     sorted.emplace_back(count, cause);
   }
@@ -62,7 +63,8 @@
   std::string fact = line.Text("fact");
   if (fact == "tasks_ordered") {
     // A job that callers sent again keeps the objective of its first orders.
-    jobs_.try_emplace(line.Text("job"), TimeOf(line) + ObjectiveOf(line.Text("detail")));
+    jobs_.try_emplace(line.Text("job"),
+                      job_times{.objective = TimeOf(line) + ObjectiveOf(line.Text("detail"))});
     return;
   }
   if (fact != "job_answered") {
