A request on a connection that the server is closing is no longer taken for cancelled

Cause: a drain shuts connections that callers do not use. A request that had arrived by then was still answered, but its socket read as closed, so the entry took its caller for gone and answered 200 with state cancelled, though nobody had cancelled and the caller was there.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -90,6 +90,12 @@
 
 }  // namespace
 
+/// An open connection of a server.
+struct open_socket {
+  std::optional<instant> idle_since{};  ///< empty while a request is in progress
+  bool is_shut = false;                 ///< the server reads nothing more from it
+};
+
 /// Counts the requests being answered, so that Stop can wait for them.
 struct http_server::state {
   http_server_options options;
@@ -104,9 +110,11 @@
   std::condition_variable drained;
   unsigned in_progress = 0;
   std::mutex sockets_mutex;
-  std::map<int, std::optional<instant>> sockets;  ///< open connections and since when each is idle
+  std::map<int, open_socket> sockets;
 
-  void SetBusy(int socket, bool busy);
+  /// @return the socket on which a hang-up of the caller shows, or -1 if it can no longer show
+  int OnRequestBegun(int socket);
+  void OnRequestEnded(int socket);
   absl::Status Listen();
   void Drain();
   bool BeginRequest();
@@ -123,8 +131,7 @@
 
 /// ulfius does not pass the connection to its endpoints; this callback runs before them.
 void* http_server::state::OnUri(void* self, const char* uri, MHD_Connection* connection) {
-  connection_socket = SocketOf(connection);
-  static_cast<state*>(self)->SetBusy(connection_socket, true);
+  connection_socket = static_cast<state*>(self)->OnRequestBegun(SocketOf(connection));
   return ulfius_uri_logger(nullptr, uri);
 }
 
@@ -134,17 +141,28 @@
   int socket = SocketOf(connection);
   std::lock_guard lock(server->sockets_mutex);
   if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-    server->sockets[socket] = MonotonicNow();
+    server->sockets[socket] = {.idle_since = MonotonicNow()};
   } else {
     server->sockets.erase(socket);
   }
 }
 
-void http_server::state::SetBusy(int socket, bool busy) {
+int http_server::state::OnRequestBegun(int socket) {
+  std::lock_guard lock(sockets_mutex);
+  auto found = sockets.find(socket);
+  if (found == sockets.end()) {
+    return socket;
+  }
+  found->second.idle_since.reset();
+  // A socket that was shut reads as if the caller had closed it.
+  return found->second.is_shut ? -1 : socket;
+}
+
+void http_server::state::OnRequestEnded(int socket) {
   std::lock_guard lock(sockets_mutex);
   auto found = sockets.find(socket);
   if (found != sockets.end()) {
-    found->second = busy ? std::nullopt : std::optional(MonotonicNow());
+    found->second.idle_since = MonotonicNow();
   }
 }
 
@@ -202,7 +220,7 @@
                                      MHD_RequestTerminationCode code) {
   mhd_request_completed(nullptr, connection, context, code);
   auto* server = static_cast<state*>(self);
-  server->SetBusy(SocketOf(connection), false);
+  server->OnRequestEnded(SocketOf(connection));
   server->EndRequest();
 }
 
@@ -286,9 +304,10 @@
 void http_server::CloseIdleConnections(duration idle_for) {
   instant idle_since = MonotonicNow() - idle_for;
   std::lock_guard lock(state_->sockets_mutex);
-  for (const auto& [socket, since] : state_->sockets) {
-    if (since.has_value() && *since <= idle_since) {
-      // The connection's thread still reads what has arrived, and closes the socket after it.
+  for (auto& [socket, connection] : state_->sockets) {
+    bool is_idle = connection.idle_since.has_value() && *connection.idle_since <= idle_since;
+    if (is_idle && !std::exchange(connection.is_shut, true)) {
+      // The connection's thread still reads and answers what has arrived, then closes the socket.
       shutdown(socket, SHUT_RD);
     }
   }
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -344,7 +344,7 @@
     // not be started here as well.
     if (IsCallerGone(admitted.socket)) {
       admitted.pending->SetAnswer(
-          {.outcome = job_outcome::kCancelled, .reason = "caller_gone_before"});
+          {.outcome = job_outcome::kAbandoned, .reason = "caller_gone_before"});
       continue;
     }
     load_monitor_.OnJobAdmitted(queued);
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -85,6 +85,12 @@
     return text;
   }
 
+  /// Waits until an answer begins or the server closes or resets the connection.
+  void AwaitAnswerOrEnd() const {
+    char byte = 0;
+    recv(descriptor_, &byte, sizeof(byte), MSG_PEEK);
+  }
+
  private:
   int descriptor_;
 };
@@ -269,6 +275,30 @@
   STRCMP_CONTAINS("answer", busy.Receive().c_str());
 }
 
+// A request that arrives while its connection is being closed was taken for one whose caller had
+// gone, since the socket reads as closed.
+TEST(Http, ARequestOnAConnectionBeingClosedShowsNoHangUp) {
+  constexpr unsigned kRounds = 200;
+  std::atomic<unsigned> hang_ups = 0;
+  auto server = Serve([&](const http_request& request) {
+    char byte = 0;
+    bool reads_closed = request.socket >= 0 &&
+                        recv(request.socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+    hang_ups += reads_closed ? 1 : 0;
+    return http_response{.status = 200, .headers = {}, .body = "answer"};
+  });
+  for (unsigned round = 0; round < kRounds; ++round) {
+    kept_connection caller(server->port());
+    caller.Send();
+    STRCMP_CONTAINS("answer", caller.Receive().c_str());
+    std::thread closing([&] { server->CloseIdleConnections(duration::zero()); });
+    caller.Send();
+    closing.join();
+    caller.AwaitAnswerOrEnd();
+  }
+  CHECK_EQUAL(0, hang_ups);
+}
+
 TEST(Http, ConnectionsBeyondTheLimitAreClosedWithoutAnswer) {
   std::latch inside(2);
   std::latch release(1);
