--- a/libraries/dispatch/job_table.cc
+++ b/libraries/dispatch/job_table.cc
@@ -13,6 +13,11 @@
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
+const owned_job* job_table::Find(const job_key& key) const {
+  auto found = jobs_.find(key);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
 owned_job* job_table::Insert(job_submission submission, uint64_t uptime_ms) {
   if (jobs_.size() >= options_.max_jobs) {
     Expire(uptime_ms);
--- a/libraries/dispatch/job_table.h
+++ b/libraries/dispatch/job_table.h
@@ -35,6 +35,13 @@
   uint32_t refusals = 0;
   bool retry_granted = true;  ///< the retry budget covers the next attempt
   std::string body;           ///< body of the target's answer
+
+  bool IsHandedOver() const {
+    return progress == task_progress::kSent || progress == task_progress::kUnsettled;
+  }
+  bool IsKnownStarted() const {
+    return progress == task_progress::kCompleted || progress == task_progress::kFailed;
+  }
 };
 
 struct owned_job {
@@ -65,6 +72,7 @@
 
   /// @return the job, or nullptr
   owned_job* Find(const job_key& key);
+  const owned_job* Find(const job_key& key) const;
   /// @param uptime_ms uptime of this entry in milliseconds
   /// @return the new job, or nullptr if the table is full
   owned_job* Insert(job_submission submission, uint64_t uptime_ms);
