The learnt timeout of a start holds only for targets that lose a tenth of their answers

Change: the timeout stays at its upper bound until a moving share of a tenth of the starts went unanswered.

Measured: AnswerTimeout.WaitsLongForATargetThatNearlyAlwaysAnswers and WaitsShortWhileATargetLosesAQuarterOfItsAnswers; Load.UnansweredStartsDelayJobsByLittle still passes.

--- a/tests/leases/answer_timeout_test.cc
+++ b/tests/leases/answer_timeout_test.cc
@@ -10,7 +10,8 @@
 }  // namespace
 
 TEST_GROUP(AnswerTimeout) {
-  answer_timeout timeout{{.min = Ms(6), .max = Ms(40)}};
+  answer_timeout timeout{{.min = Ms(6), .max = Ms(40), .min_lost_share = 0}};
+  answer_timeout for_losses{{.min = Ms(6), .max = Ms(40), .min_lost_share = 0.1}};
 
   void Answer(duration took, unsigned times = 50) {
     for (unsigned count = 0; count < times; ++count) {
@@ -55,6 +56,31 @@
   CHECK(timeout.Get() < 2 * before);
 }
 
+// On most days answers are late now and then, but not lost: a short wait would void starts that
+// run.
+TEST(AnswerTimeout, WaitsLongForATargetThatNearlyAlwaysAnswers) {
+  for (unsigned count = 0; count < 200; ++count) {
+    for (unsigned answered = 0; answered < 24; ++answered) {
+      for_losses.OnAnswer(Ms(1));
+    }
+    for_losses.OnTimeout();
+    CHECK(for_losses.Get() == Ms(40));
+  }
+}
+
+TEST(AnswerTimeout, WaitsShortWhileATargetLosesAQuarterOfItsAnswers) {
+  constexpr unsigned kRounds = 200;
+  unsigned waited_long = 0;
+  for (unsigned count = 0; count < kRounds; ++count) {
+    for_losses.OnAnswer(Ms(1));
+    for_losses.OnAnswer(Ms(1));
+    for_losses.OnAnswer(Ms(1));
+    for_losses.OnTimeout();
+    waited_long += for_losses.Get() == Ms(40) ? 1 : 0;
+  }
+  CHECK(waited_long < kRounds / 10);
+}
+
 TEST(AnswerTimeout, ForgetsATargetThatWasReplaced) {
   Answer(Ms(2));
   timeout.Reset();
