Logs say which version handled a request, how a plan came and how many copies were sent

Change: plan_taken has its source (and at agents copies_sent), job_answered the version that chose the queue, request_refused is a line for each 404, processor_use has plan_copies, plan and store_answered_ms_ago. No logic changed.

--- a/libraries/session/agent_sessions.cc
+++ b/libraries/session/agent_sessions.cc
@@ -103,7 +103,7 @@
     hooks_.result(Read(result, id));
   }
   if (report.hasPlan()) {
-    hooks_.newer_plan(Read(report.getPlan()));
+    hooks_.newer_plan(Read(report.getPlan()), sessions_.at(id).identity.name);
   }
   for (const std::string& address : Read(report.getOtherEntries())) {
     hooks_.entry_reported(address);
@@ -162,6 +162,7 @@
   if (agent.has_reported && plan.revision > agent.known_plan_revision) {
     Write(plan, out.initPlan());
     agent.known_plan_revision = plan.revision;
+    ++plan_copies_;
   }
   if (!std::exchange(agent.was_greeted, true)) {
     Write(self_, out.initBuild());
--- a/libraries/session/agent_sessions.h
+++ b/libraries/session/agent_sessions.h
@@ -29,7 +29,8 @@
     std::function<void(session_id)> session_closed;
     std::function<void()> after_message;  ///< all hooks for a message have been called
     std::function<const operating_plan&()> plan;
-    std::function<void(operating_plan)> newer_plan;
+    /// Receives a plan and the name of the agent that sent it.
+    std::function<void(operating_plan, const std::string& agent)> newer_plan;
     std::function<const std::vector<std::string>&()> entries;  ///< addresses of known entries
     /// An agent has a session with the entry at this address.
     std::function<void(const std::string&)> entry_reported;
@@ -54,6 +55,8 @@
   /// Closes a session from the entry side and calls `session_closed`.
   void Close(session_id session);
   size_t size() const { return sessions_.size(); }
+  /// @return number of copies of the plan sent to agents so far
+  uint64_t plan_copies() const { return plan_copies_; }
 
  private:
   struct session {
@@ -82,6 +85,7 @@
   std::map<session_id, session> sessions_;
   std::set<session_id> pending_;
   session_id next_session_ = 1;
+  uint64_t plan_copies_ = 0;          ///< sent to agents
   std::vector<std::string> entries_;  ///< as last returned by the `entries` hook
   unsigned entries_version_ = 1;      ///< incremented when entries_ changes
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  ///< for timers that outlive this
--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -310,6 +310,7 @@
   if (plan.revision > entry.known_plan_revision) {
     entry.known_plan_revision = plan.revision;
     Write(plan, report.initPlan());
+    ++plan_copies_;
   }
   // Repeated periodically, since entries expire addresses that are no longer reported.
   if (open_entries != entry.reported_entries ||
@@ -344,7 +345,7 @@
     AddEntry(address);
   }
   if (message.hasPlan()) {
-    hooks_.newer_plan(Read(message.getPlan()));
+    hooks_.newer_plan(Read(message.getPlan()), entry.address);
   }
   ProcessOrders(entry, message);
   hooks_.after_message();
--- a/libraries/session/entry_links.h
+++ b/libraries/session/entry_links.h
@@ -63,7 +63,8 @@
     std::function<bool(session_id)> busy;  ///< whether the session has unfinished orders
     std::function<bool()> settled;
     std::function<const operating_plan&()> plan;
-    std::function<void(operating_plan)> newer_plan;
+    /// Receives a plan and the address of the entry that sent it.
+    std::function<void(operating_plan, const std::string& entry)> newer_plan;
   };
 
   entry_links(event_loop& loop, agent_identity self, entry_links_options options, hooks hooks);
@@ -79,6 +80,8 @@
   void Flush();
   /// @return entries with an open session
   std::vector<std::string> ConnectedEntries() const;
+  /// @return number of copies of the plan sent to entries so far
+  uint64_t plan_copies() const { return plan_copies_; }
 
  private:
   struct link;
@@ -108,6 +111,7 @@
   hooks hooks_;
   std::map<std::string, std::unique_ptr<link>> links_;
   session_id next_session_ = 1;
+  uint64_t plan_copies_ = 0;             ///< sent to entries
   std::shared_ptr<entry_links*> alive_;  ///< points to null after destruction; held by callbacks
 };
 
--- a/libraries/table/table_follower.cc
+++ b/libraries/table/table_follower.cc
@@ -24,7 +24,7 @@
         }
       }
       revision_ = read->revision;
-      hooks_.on_changed(rows_, revision_);
+      hooks_.on_changed(rows_, revision_, rows_source::kRead);
     }
     Follow();
   });
@@ -43,10 +43,11 @@
         rows_.erase(row.key);
       }
     }
+    hooks_.on_answered();
     bool has_changes = !changes->rows.empty();
     revision_ = std::max(revision_, changes->revision);
     if (has_changes) {
-      hooks_.on_changed(rows_, revision_);
+      hooks_.on_changed(rows_, revision_, rows_source::kPoll);
     }
     Follow();
   });
@@ -62,6 +63,7 @@
 }
 
 void table_follower::OnSuccess() {
+  hooks_.on_answered();
   if (!is_readable_) {
     is_readable_ = true;
     hooks_.on_available();
--- a/libraries/table/table_follower.h
+++ b/libraries/table/table_follower.h
@@ -16,6 +16,9 @@
   duration retry_delay = std::chrono::milliseconds(300);
 };
 
+/// How a table_follower got the rows that it passes on.
+enum class rows_source { kRead, kPoll };
+
 /// Maintains a copy of some rows: reads them once, follows their changes, and rereads them after a
 /// failure or when changes were missed. The copy never reverts to an older revision. All calls go
 /// through hooks, which keeps it independent of sockets, threads and clocks.
@@ -31,7 +34,9 @@
     /// Runs a function after a delay.
     std::function<void(duration, std::function<void()>)> run_after;
     /// Receives the rows as of a newer revision.
-    std::function<void(const rows&, uint64_t revision)> on_changed;
+    std::function<void(const rows&, uint64_t revision, rows_source source)> on_changed;
+    /// Called when the table has answered, whether or not rows changed.
+    std::function<void()> on_answered = [] {};
     /// Called when the table becomes unreadable.
     std::function<void(const absl::Status&)> on_unavailable;
     /// Called when the table is readable for the first time or again.
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -143,7 +143,9 @@
   hooks.busy = [this](session_id session) { return controller_->IsBusy(session); };
   hooks.settled = [this] { return controller_->Settled(); };
   hooks.plan = [this]() -> const operating_plan& { return plan_.get(); };
-  hooks.newer_plan = [this](operating_plan plan) { ApplyPlan(std::move(plan)); };
+  hooks.newer_plan = [this](operating_plan plan, const std::string& entry) {
+    ApplyPlan(std::move(plan), entry);
+  };
   agent_identity self{.name = settings_.name,
                       .address = settings_.SessionAddress(settings_.ip),
                       .domain = settings_.domain,
@@ -158,13 +160,15 @@
   store_ = std::make_unique<platform::store_client>(loop_, settings_.store);
   plan_follower_ =
       platform::FollowPlan(loop_, *store_, kPlanPollTimeout,
-                           [this](operating_plan plan) { ApplyPlan(std::move(plan)); });
+                           {.take = [this](operating_plan plan, std::string_view source) {
+                             ApplyPlan(std::move(plan), source);
+                           }});
   entries_follower_ =
       platform::FollowEntries(loop_, *store_, kEntriesPollTimeout,
                               [this](const std::string& address) { links_->AddEntry(address); });
 }
 
-void agent_service::ApplyPlan(operating_plan plan) {
+void agent_service::ApplyPlan(operating_plan plan, std::string_view source) {
   if (!plan_.Offer(std::move(plan))) {
     return;
   }
@@ -172,6 +176,8 @@
   LogFact(log_level::kInfo, "plan_taken",
           {{"revision", current.revision},
            {"version", current.version},
+           {"source", source},
+           {"copies_sent", links_->plan_copies()},
            {"leaving_domains", current.leaving_domains.size()}});
   controller_->SetPlan(current, BootTimeNow());
   ScheduleFlush();
--- a/services/agentd/agent_service.h
+++ b/services/agentd/agent_service.h
@@ -40,7 +40,8 @@
   void LoadTarget();
   void OnAnnouncement(const target_announcement& announcement);
   void Tick();
-  void ApplyPlan(operating_plan plan);
+  /// @param source "read" or "poll" of the store, or the entry that sent the plan
+  void ApplyPlan(operating_plan plan, std::string_view source);
   void OnResult(const run_result& result);
   void ScheduleFlush();
 
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -160,7 +160,9 @@
   };
   hooks.after_message = [this] { ScheduleTurn(); };
   hooks.plan = [this]() -> const operating_plan& { return plan_.get(); };
-  hooks.newer_plan = [this](operating_plan plan) { ApplyPlan(std::move(plan)); };
+  hooks.newer_plan = [this](operating_plan plan, const std::string& agent) {
+    ApplyPlan(std::move(plan), agent);
+  };
   hooks.entries = [this]() -> const std::vector<std::string>& { return known_entries_; };
   hooks.entry_reported = [this](const std::string& entry) { OnEntryReported(entry); };
   sessions_ = std::make_unique<agent_sessions>(loop_, OwnBuild(), std::move(hooks));
@@ -168,13 +170,15 @@
 
 void dispatch_service::FollowStore() {
   store_ = std::make_unique<platform::store_client>(loop_, settings_.store);
-  plan_follower_ =
-      platform::FollowPlan(loop_, *store_, kPlanPollTimeout,
-                           [this](operating_plan plan) { ApplyPlan(std::move(plan)); });
+  plan_follower_ = platform::FollowPlan(
+      loop_, *store_, kPlanPollTimeout,
+      {.take = [this](operating_plan plan,
+                      std::string_view source) { ApplyPlan(std::move(plan), source); },
+       .answered = [this] { store_answered_ = BootTimeNow(); }});
   platform::RegisterEntry(loop_, *store_, settings_.SessionAddress(settings_.ip));
 }
 
-void dispatch_service::ApplyPlan(operating_plan plan) {
+void dispatch_service::ApplyPlan(operating_plan plan, std::string_view source) {
   if (!plan_.Offer(std::move(plan))) {
     return;
   }
@@ -182,6 +186,7 @@
   LogFact(log_level::kInfo, "plan_taken",
           {{"revision", current.revision},
            {"version", current.version},
+           {"source", source},
            {"queues", current.queues.size()},
            {"leaving_domains", current.leaving_domains.size()}});
   shared_plan_.Publish(std::make_unique<const operating_plan>(current));
@@ -244,7 +249,10 @@
     backlog_.OnWorkTaken(now - next_tick_, now);
   }
   UpdateRotation(now);
-  load_monitor_.LogUsage(now, refused_busy_);
+  load_monitor_.LogUsage(now, {.refused_busy = refused_busy_,
+                               .plan_copies = sessions_->plan_copies(),
+                               .plan_version = plan_.get().version,
+                               .store_answered = store_answered_});
   known_entries_ = KnownEntries();
   for (session_id session : scheduler_->UnresponsiveSessions(now)) {
     sessions_->Close(session);
@@ -267,11 +275,12 @@
     return busy;
   };
   hooks.await_plan = [this](duration deadline) { return AwaitPlan(deadline); };
-  hooks.queue = [this](const std::string& host, const std::string& path, size_t& max_body_bytes) {
+  hooks.queue = [this](const std::string& host, const std::string& path) {
     return shared_plan_.Read([&](const operating_plan& plan) {
-      max_body_bytes = plan.max_body_bytes;
       const queue_plan* queue = plan.QueueFor(host, path);
-      return queue == nullptr ? std::nullopt : std::optional(*queue);
+      return queue_match{.plan_version = plan.version,
+                         .max_body_bytes = plan.max_body_bytes,
+                         .queue = queue == nullptr ? std::nullopt : std::optional(*queue)};
     });
   };
   hooks.submit = [this](front_request& request) { return Submit(request); };
@@ -361,6 +370,7 @@
   LogFact(log_level::kInfo, "job_answered",
           {{"job", request.job},
            {"queue", request.queue.name},
+           {"plan", request.plan_version},
            {"deadline_ms", ToMilliseconds(times.deadline)},
            {"outcome", OutcomeName(answer.outcome)},
            {"reason", answer.reason},
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -64,7 +64,8 @@
   void UpdateRotation(instant now);
   /// @return whether the caller's connection is to be closed after the current answer
   bool ShouldCloseConnection();
-  void ApplyPlan(operating_plan plan);
+  /// @param source "read" or "poll" of the store, or the agent that sent the plan
+  void ApplyPlan(operating_plan plan, std::string_view source);
   void ScheduleTurn();
   void OnEntryReported(const std::string& entry);
   std::vector<std::string> KnownEntries() const;
@@ -104,6 +105,7 @@
   load_monitor load_monitor_{metrics_, BootTimeNow()};
   instant next_tick_{};  ///< when the timer is due next
   newest_plan plan_;
+  instant store_answered_{};  ///< when the store last answered about the plan
   std::unique_ptr<job_scheduler> scheduler_;
   std::unique_ptr<agent_sessions> sessions_;
   std::unique_ptr<connection_listener> agent_listener_;
--- a/services/dispatchd/front_filters.cc
+++ b/services/dispatchd/front_filters.cc
@@ -27,12 +27,19 @@
   auto host = request.http->headers.find("host");
   std::string name = host == request.http->headers.end() ? "" : host->second;
   name = name.substr(0, name.find(':'));
-  std::optional<queue_plan> queue = hooks.queue(name, request.http->path, request.max_body_bytes);
-  if (!queue.has_value()) {
+  queue_match match = hooks.queue(name, request.http->path);
+  if (!match.queue.has_value()) {
+    LogFact(log_level::kInfo, "request_refused",
+            {{"reason", "no_such_queue"},
+             {"host", name},
+             {"path", request.http->path},
+             {"plan", match.plan_version}});
     return platform::WriteRefusal(kNotFound, "no_such_queue", kNoRetry);
   }
-  request.job = request.http->path.substr(queue->path_prefix.size());
-  request.queue = *std::move(queue);
+  request.plan_version = match.plan_version;
+  request.max_body_bytes = match.max_body_bytes;
+  request.job = request.http->path.substr(match.queue->path_prefix.size());
+  request.queue = *std::move(match.queue);
   return std::nullopt;
 }
 
--- a/services/dispatchd/front_filters.h
+++ b/services/dispatchd/front_filters.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -11,10 +12,18 @@
 
 namespace wagtail::leased {
 
+/// What the plan says about a request.
+struct queue_match {
+  uint64_t plan_version = 0;
+  size_t max_body_bytes = 0;
+  std::optional<queue_plan> queue{};  ///< nothing if no queue receives the request
+};
+
 /// A caller's request with the state that the filters add to it.
 struct front_request {
   const http_request* http = nullptr;
-  duration waited{0};  ///< time spent waiting for the first plan after a start
+  duration waited{0};         ///< time spent waiting for the first plan after a start
+  uint64_t plan_version = 0;  ///< version that chose the queue
   queue_plan queue{};
   std::string job{};  ///< empty if the request is about the queue itself
   size_t max_body_bytes = 0;
@@ -30,10 +39,8 @@
   std::function<bool()> stopping;
   /// Whether the entry is overloaded; called once for each new job.
   std::function<bool()> busy;
-  /// Finds the queue of a request and the maximum body size; nothing if there is no such queue.
-  std::function<std::optional<queue_plan>(const std::string& host, const std::string& path,
-                                          size_t& max_body_bytes)>
-      queue;
+  /// Finds the queue of a request.
+  std::function<queue_match(const std::string& host, const std::string& path)> queue;
   /// Waits for a limited time for the first plan after a start, if there is none.
   /// @param deadline how long the caller waits
   /// @return how long the wait took, or nothing if there is still no plan
--- a/services/dispatchd/load_monitor.cc
+++ b/services/dispatchd/load_monitor.cc
@@ -73,7 +73,7 @@
   ++interval_.orders;
 }
 
-void load_monitor::LogUsage(instant now, uint64_t refused_busy) {
+void load_monitor::LogUsage(instant now, const entry_totals& totals) {
   duration elapsed = now - last_logged_;
   if (elapsed < kLogInterval) {
     return;
@@ -81,20 +81,23 @@
   processor_time used = ProcessorTime();
   duration loop = std::max(used.loop - last_processor_time_.loop, duration::zero());
   loop_cpu_seconds_->Increment(ToSeconds(loop));
-  interval_totals totals = std::exchange(interval_, {});
+  interval_totals interval = std::exchange(interval_, {});
   LogFact(log_level::kInfo, "processor_use",
           {{"of_ms", ToMilliseconds(elapsed)},
            {"process_ms", ToMilliseconds(used.process - last_processor_time_.process)},
            {"loop_ms", ToMilliseconds(loop)},
-           {"loop_delay_ms", ToMilliseconds(totals.max_loop_delay)},
-           {"admission_delay_ms", ToMilliseconds(totals.max_admission_delay)},
-           {"jobs", totals.jobs},
-           {"reports", totals.reports},
-           {"order_messages", totals.orders},
-           {"refused_busy", refused_busy - last_refused_busy_}});
+           {"loop_delay_ms", ToMilliseconds(interval.max_loop_delay)},
+           {"admission_delay_ms", ToMilliseconds(interval.max_admission_delay)},
+           {"jobs", interval.jobs},
+           {"reports", interval.reports},
+           {"order_messages", interval.orders},
+           {"refused_busy", totals.refused_busy - last_totals_.refused_busy},
+           {"plan_copies", totals.plan_copies - last_totals_.plan_copies},
+           {"plan", totals.plan_version},
+           {"store_answered_ms_ago", ToMilliseconds(now - totals.store_answered)}});
   last_logged_ = now;
   last_processor_time_ = used;
-  last_refused_busy_ = refused_busy;
+  last_totals_ = totals;
 }
 
 }  // namespace wagtail::leased
--- a/services/dispatchd/load_monitor.h
+++ b/services/dispatchd/load_monitor.h
@@ -26,9 +26,15 @@
   void OnReport();
   /// A batch of orders was passed on for an agent.
   void OnOrdersSent();
+  /// What other parts of the entry have counted since the start, and their state.
+  struct entry_totals {
+    uint64_t refused_busy = 0;  ///< requests refused because the entry was overloaded
+    uint64_t plan_copies = 0;   ///< copies of the plan sent to agents
+    uint64_t plan_version = 0;  ///< version in use
+    instant store_answered{};   ///< when the store last answered about the plan
+  };
   /// Writes the fact `processor_use` once a second.
-  /// @param refused_busy total number of requests refused because the entry was overloaded
-  void LogUsage(instant now, uint64_t refused_busy);
+  void LogUsage(instant now, const entry_totals& totals);
 
  private:
   /// Since the last fact.
@@ -55,7 +61,7 @@
   instant last_logged_;
   processor_time last_processor_time_;
   interval_totals interval_;
-  uint64_t last_refused_busy_ = 0;  ///< total at the last log line
+  entry_totals last_totals_;  ///< at the last log line
 };
 
 }  // namespace wagtail::leased
--- a/tests/dispatchd/first_plan_test.cc
+++ b/tests/dispatchd/first_plan_test.cc
@@ -31,9 +31,9 @@
       deadline_seen = deadline;
       return plan_after;
     };
-    hooks.queue = [](const std::string&, const std::string&, size_t& max_body_bytes) {
-      max_body_bytes = 10'000;
-      return std::optional(queue_plan{.name = "q", .path_prefix = "/q/", .service = "s"});
+    hooks.queue = [](const std::string&, const std::string&) {
+      return queue_match{.max_body_bytes = 10'000,
+                         .queue = queue_plan{.name = "q", .path_prefix = "/q/", .service = "s"}};
     };
     hooks.submit = [this](front_request& request) {
       submitted.push_back(request.submission);
--- a/tests/session/session_loopback_test.cc
+++ b/tests/session/session_loopback_test.cc
@@ -63,7 +63,7 @@
     hooks.session_closed = [this](session_id session) { closed.push_back(session); };
     hooks.after_message = [this, &loop] { loop.After(duration::zero(), [this] { Flush(); }); };
     hooks.plan = [this]() -> const operating_plan& { return plan; };
-    hooks.newer_plan = [this](operating_plan newer) {
+    hooks.newer_plan = [this](operating_plan newer, const std::string&) {
       ++plans_received;
       plan = std::move(newer);
     };
@@ -101,7 +101,7 @@
     hooks.busy = [](session_id) { return false; };
     hooks.settled = [] { return true; };
     hooks.plan = [this]() -> const operating_plan& { return plan; };
-    hooks.newer_plan = [this](operating_plan newer) {
+    hooks.newer_plan = [this](operating_plan newer, const std::string&) {
       ++plans_received;
       plan = std::move(newer);
     };
--- a/tests/table/table_follower_test.cc
+++ b/tests/table/table_follower_test.cc
@@ -15,7 +15,9 @@
   std::vector<std::function<void()>> delayed;
   table_follower::rows rows;
   uint64_t revision = 0;
+  rows_source source = rows_source::kPoll;
   unsigned changes = 0;
+  unsigned answers = 0;
   unsigned unavailable_count = 0;
   unsigned available_count = 0;
   table_follower follower{
@@ -29,11 +31,13 @@
        .run_after = [this](duration,
                            const std::function<void()>& work) { delayed.push_back(work); },
        .on_changed =
-           [this](const table_follower::rows& now, uint64_t at) {
+           [this](const table_follower::rows& now, uint64_t at, rows_source from) {
              rows = now;
              revision = at;
+             source = from;
              ++changes;
            },
+       .on_answered = [this] { ++answers; },
        .on_unavailable = [this](const absl::Status&) { ++unavailable_count; },
        .on_available = [this] { ++available_count; }}};
 
@@ -53,6 +57,17 @@
   CHECK_EQUAL(7, followed_after.at(1));
 }
 
+TEST(TableFollower, SaysHowTheRowsCameAndWhenTheTableAnswered) {
+  follower.Start();
+  reads.at(0)(Changes(5, {}));
+  CHECK(source == rows_source::kRead);
+  follows.at(0)(Changes(7, {{.key = "b", .revision = 7, .value = "2"}}));
+  CHECK(source == rows_source::kPoll);
+  follows.at(1)(Changes(8, {}));
+  follows.at(2)(absl::UnavailableError("gone"));
+  CHECK_EQUAL(3, answers);
+}
+
 TEST(TableFollower, AnEmptyChangeDoesNotCallTheHook) {
   follower.Start();
   reads.at(0)(Changes(5, {}));
