A peer that reads the table itself is sent no copies of the plan

Cause: both ends of each session sent the plan to any peer whose last report named an older revision. A change reaches all processes within milliseconds, but reports come every 200 ms: so nearly every session carried a copy of every change. In quick changes the copies fill links of 19 Mbit/s; the store's answers no longer arrive within their timeout, and the entry lives on copies that queue. Ruled out: a late event loop. Change: peer_plan decides. A copy goes to a peer that has made no progress for 300 ms, spread over 600 ms, so that the first copy makes the others needless; a peer without any plan does not wait the 300 ms. A copy that is not newer is not decoded. Why it works: the traffic of a change no longer depends on the number of sessions; a peer that the store does not serve still gets it within about a second, half of the smallest bound. Measured: SessionLoopback.ChangesInQuickSuccessionThatBothEndsReadAreNotSentAsCopies 20 copies of 20 changes before, none now; PeerPlan.*; session and plan tests pass.

--- a/libraries/base/identifiers.h
+++ b/libraries/base/identifiers.h
@@ -63,4 +63,12 @@
 /// @param bytes any bytes
 uint64_t DigestOf(std::string_view bytes);
 
+/// @return the digest as a fraction of its range, from 0 to below 1
+constexpr double FractionOf(uint64_t digest) {
+  constexpr unsigned kMantissaBits = 53;
+  constexpr unsigned kDroppedBits = 64 - kMantissaBits;
+  return static_cast<double>(digest >> kDroppedBits) /
+         static_cast<double>(uint64_t{1} << kMantissaBits);
+}
+
 }  // namespace wagtail
--- a/libraries/session/agent_sessions.cc
+++ b/libraries/session/agent_sessions.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/identifiers.h"
 #include "logging/logging.h"
 #include "session/session_codec.h"
 
@@ -91,6 +92,7 @@
   }
   session& current = sessions_.at(id);
   current.identity = identity;
+  current.plan = peer_plan(FractionOf(DigestOf(identity.address + " " + std::to_string(id))));
   current.is_open = true;
   pending_.insert(id);
   hooks_.session_opened(id, identity);
@@ -102,7 +104,7 @@
   for (auto result : report.getResults()) {
     hooks_.result(Read(result, id));
   }
-  if (report.hasPlan()) {
+  if (report.hasPlan() && report.getPlan().getRevision() > hooks_.plan().revision) {
     hooks_.newer_plan(Read(report.getPlan()), sessions_.at(id).identity.name);
   }
   for (const std::string& address : Read(report.getOtherEntries())) {
@@ -112,8 +114,7 @@
   if (found != sessions_.end()) {
     found->second.last_report_sent = report.getSent();
     found->second.has_reported = true;
-    found->second.known_plan_revision =
-        std::max(found->second.known_plan_revision, report.getPlanRevision());
+    found->second.plan.OnPeerHas(report.getPlanRevision());
     pending_.insert(id);
   }
   hooks_.after_message();
@@ -158,10 +159,9 @@
   out.setReportSent(agent.last_report_sent);
   const operating_plan& plan = hooks_.plan();
   out.setPlanRevision(plan.revision);
-  // Plans may be large and links slow: do not send the plan to an agent that has already read it.
-  if (agent.has_reported && plan.revision > agent.known_plan_revision) {
+  if (agent.has_reported && agent.plan.NeedsCopy(plan.revision, hooks_.now())) {
     Write(plan, out.initPlan());
-    agent.known_plan_revision = plan.revision;
+    agent.plan.OnCopySent(plan.revision);
     ++plan_copies_;
   }
   if (!std::exchange(agent.was_greeted, true)) {
--- a/libraries/session/agent_sessions.h
+++ b/libraries/session/agent_sessions.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "plan/peer_plan.h"
 #include "rpc/event_loop.h"
 #include "rpc/message_stream.h"
 #include "scheduler/scheduler_events.h"
@@ -65,11 +66,11 @@
     std::vector<order_batch> orders{};
     std::vector<uint64_t> stops{};
     int64_t last_report_sent = 0;       ///< send time of the newest report
-    uint64_t known_plan_revision = 0;   ///< newest that the agent is known to have
+    peer_plan plan{0};                  ///< what the agent is known to have
     unsigned sent_entries_version = 0;  ///< entries_version_ of the list last sent
     bool is_open = false;
     bool was_greeted = false;   ///< this entry's build was sent
-    bool has_reported = false;  ///< known_plan_revision is valid
+    bool has_reported = false;  ///< `plan` is valid
   };
 
   void OnMessage(session_id id, session_wire::ToEntry::Reader message);
--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -8,6 +8,7 @@
 
 #include "base/identifiers.h"
 #include "logging/logging.h"
+#include "plan/peer_plan.h"
 #include "session/session_codec.h"
 
 namespace wagtail::leased {
@@ -26,7 +27,7 @@
   instant hello_sent{};  ///< when the hello was sent
   instant last_answer{};
   instant last_report{};
-  uint64_t known_plan_revision = 0;  ///< newest that the entry is known to have
+  peer_plan plan{0};  ///< what the entry is known to have
   uint64_t orders_seen = 0;
   instant last_order{};           ///< when the entry last sent an order in this session
   uint64_t rank = 0;              ///< entries with lower ranks are preferred
@@ -169,7 +170,8 @@
   entry.is_draining = false;
   entry.backoff.OnConnected();
   entry.last_answer = hooks_.now();
-  entry.known_plan_revision = known_plan_revision;
+  entry.plan = peer_plan(FractionOf(entry.rank));
+  entry.plan.OnPeerHas(known_plan_revision);
   entry.orders_seen = 0;
   entry.last_order = {};
   entry.reported_entries.clear();
@@ -307,9 +309,9 @@
   }
   const operating_plan& plan = hooks_.plan();
   report.setPlanRevision(plan.revision);
-  if (plan.revision > entry.known_plan_revision) {
-    entry.known_plan_revision = plan.revision;
+  if (entry.plan.NeedsCopy(plan.revision, now)) {
     Write(plan, report.initPlan());
+    entry.plan.OnCopySent(plan.revision);
     ++plan_copies_;
   }
   // Repeated periodically, since entries expire addresses that are no longer reported.
@@ -337,14 +339,14 @@
   entry.is_draining = message.getDraining();
   entry.last_answer = hooks_.now();
   entry.last_seen = entry.last_answer;
-  entry.known_plan_revision = std::max(entry.known_plan_revision, message.getPlanRevision());
+  entry.plan.OnPeerHas(message.getPlanRevision());
   if (message.getReportSent() != 0) {
     hooks_.session_lease_renewed(entry.session, instant(duration(message.getReportSent())));
   }
   for (const std::string& address : Read(message.getOtherEntries())) {
     AddEntry(address);
   }
-  if (message.hasPlan()) {
+  if (message.hasPlan() && message.getPlan().getRevision() > hooks_.plan().revision) {
     hooks_.newer_plan(Read(message.getPlan()), entry.address);
   }
   ProcessOrders(entry, message);
--- a/tests/session/session_loopback_test.cc
+++ b/tests/session/session_loopback_test.cc
@@ -184,6 +184,32 @@
   CHECK_EQUAL(before, plans_received);
 }
 
+TEST(SessionLoopback, ChangesInQuickSuccessionThatBothEndsReadAreNotSentAsCopies) {
+  constexpr unsigned kChanges = 20;
+  unsigned reports = 0;
+  CHECK(Until([&] { return entry.reports >= 2; }));
+  unsigned before = plans_received;
+  for (unsigned change = 0; change < kChanges; ++change) {
+    loop->Run([&] {
+      ++entry.plan.revision;
+      ++agent.plan.revision;
+      reports = entry.reports;
+    });
+    CHECK(Until([&] { return entry.reports > reports; }));
+  }
+  CHECK_EQUAL(before, plans_received);
+}
+
+TEST(SessionLoopback, APlanReachesAnAgentThatTheStoreDoesNotServe) {
+  loop->Run([&] { entry.plan.revision = 5; });
+  CHECK(Until([&] { return agent.plan.revision == 5; }));
+}
+
+TEST(SessionLoopback, APlanReachesAnEntryThatTheStoreDoesNotServe) {
+  loop->Run([&] { agent.plan.revision = 5; });
+  CHECK(Until([&] { return entry.plan.revision == 5; }));
+}
+
 TEST(SessionLoopback, ASessionClosedByTheEntryIsReopened) {
   loop->Run([this] { entry.sessions->Close(entry.opened[0]); });
   CHECK(Until([this] { return agent.closed.size() == 1 && agent.opened.size() == 2; }));
