Agents tell a crash of the target from a hung one and which runs began just before

Change: a refused connection is an error of its own (kConnectFailed, kNoListener). run_ended has 'crash': suspect for a run that began at most 100 ms before the target refused connections, bystander for older ones, none without such a sign. target_refuses_connections is a line. No decision changed: a start on a refused connection is still taken as unanswered.

--- a/libraries/async_http/async_http_client.cc
+++ b/libraries/async_http/async_http_client.cc
@@ -3,9 +3,12 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
+#include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include "http/http_error.h"
@@ -34,6 +37,13 @@
   return valid ? std::optional(address) : std::nullopt;
 }
 
+/// @return kConnectFailed if the peer refused the connection, so that the request was not sent
+http_error KindOf(const kj::Exception& error) {
+  std::string_view text = error.getDescription().cStr();
+  bool refused = text.find(std::strerror(ECONNREFUSED)) != std::string_view::npos;
+  return refused ? http_error::kConnectFailed : http_error::kNoAnswer;
+}
+
 }  // namespace
 
 async_http_client::async_http_client(event_loop& loop, const std::string& peer)
@@ -86,11 +96,10 @@
   auto hook = std::make_shared<answer_hook>(std::move(answer));
   auto with_timeout =
       loop_.timer().timeoutAfter(call.timeout.count() * kj::MICROSECONDS, Exchange(call));
-  loop_.Detach(
-      with_timeout.then([hook](http_response&& response) { (*hook)(response); },
-                        [hook](kj::Exception&& error) {
-                          (*hook)(MakeError(http_error::kNoAnswer, error.getDescription().cStr()));
-                        }));
+  loop_.Detach(with_timeout.then([hook](http_response&& response) { (*hook)(response); },
+                                 [hook](kj::Exception&& error) {
+                                   (*hook)(MakeError(KindOf(error), error.getDescription().cStr()));
+                                 }));
 }
 
 }  // namespace wagtail
--- a/libraries/async_http/async_http_client.h
+++ b/libraries/async_http/async_http_client.h
@@ -25,7 +25,8 @@
 /// thread only. A request that times out closes its connection, so that the next one uses another.
 class async_http_client {
  public:
-  /// Receives the answer whatever its status code, or http_error::kNoAnswer: the request may have
+  /// Receives the answer whatever its status code, or http_error::kConnectFailed: the peer
+  /// refused the connection, or http_error::kNoAnswer: the request may have
   /// arrived.
   using answer_hook = std::function<void(const absl::StatusOr<http_response>&)>;
 
--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -62,6 +62,7 @@
   speed_.Reset();
   start_timeout_.Reset();
   latest_lease_end_.reset();
+  refuses_since_.reset();
   ++fence_;
   renewals_.clear();
   Renew(duration::zero(), now);
@@ -76,6 +77,7 @@
       run.state = run_state::kInDoubt;
       run.fence = fence_;
       run.may_have_run = true;
+      run.crash = RoleOf(run);
     }
   }
   BeginIncarnation(announcement, now);
@@ -340,6 +342,22 @@
   }
 }
 
+void run_controller::OnNoListener(instant now) {
+  if (!incarnation_.has_value() || refuses_since_.has_value()) {
+    return;
+  }
+  refuses_since_ = now;
+  log_({.fact = "target_refuses_connections", .detail = incarnation_->announced.id});
+}
+
+crash_role run_controller::RoleOf(const tracked_run& run) const {
+  if (!refuses_since_.has_value()) {
+    return run.crash;
+  }
+  bool just_begun = run.started + options_.suspect_age >= *refuses_since_;
+  return just_begun ? crash_role::kSuspect : crash_role::kBystander;
+}
+
 void run_controller::CheckLapse(instant now) {
   bool lapsed = latest_lease_end_.has_value() && *latest_lease_end_ < now;
   if (!lapsed) {
@@ -393,6 +411,7 @@
            .outcome = outcome,
            .reason = std::move(reason),
            .run = ended.number,
+           .crash = outcome == run_outcome::kLost ? RoleOf(ended) : crash_role::kNone,
            .waited = started ? ended.started - ended.arrived : now - ended.arrived,
            .ran = started && now > ended.started ? now - ended.started : duration::zero()});
 }
--- a/libraries/leases/run_controller.h
+++ b/libraries/leases/run_controller.h
@@ -62,6 +62,8 @@
   /// no call at all for `unreachable_after`: a target that loses single answers goes on to serve.
   unsigned failures_to_unreachable = 2;
   duration unreachable_after = std::chrono::milliseconds(100);
+  /// A run that began at most this long before its target crashed is suspected to be the cause.
+  duration suspect_age = std::chrono::milliseconds(100);
   /// First fence; must be higher than that of every earlier agent of this VM.
   uint64_t fence = 1;
 };
@@ -156,6 +158,9 @@
   std::optional<int64_t> NextLease(instant now);
   void ProcessEnds(const target_report& report, instant now);
   void ReconcileRuns(uint64_t serial, uint64_t fence, const target_report& report, instant now);
+  void OnNoListener(instant now);
+  /// @return the part of a run in the crash of the target, if it has crashed
+  crash_role RoleOf(const tracked_run& run) const;
   void CheckLapse(instant now);
   void AllowForOtherIncarnation(instant now);
   void Expire(instant now);
@@ -186,6 +191,8 @@
   uint64_t next_serial_ = 1;
   /// Renewals without an answer, by serial: the fence they carried.
   std::map<uint64_t, uint64_t> renewals_;
+  /// Since when the target refuses connections: its process has ended.
+  std::optional<instant> refuses_since_;
   instant next_renewal_{};
   instant short_renewals_until_{};
   std::optional<instant> latest_lease_end_;  ///< no lease that was granted lasts longer than this
--- a/libraries/leases/run_events.h
+++ b/libraries/leases/run_events.h
@@ -53,6 +53,13 @@
             ///< the target, but possibly in another one under the same id
 };
 
+/// What a run that was lost had to do with the end of its target.
+enum class crash_role {
+  kNone,       ///< the target did not crash, or nothing shows that it did
+  kBystander,  ///< had run for some time when the target crashed
+  kSuspect,    ///< had begun just before the target crashed
+};
+
 /// Final result of one order.
 struct run_result {
   session_id session = 0;
@@ -60,7 +67,8 @@
   task_ref task{};
   run_outcome outcome = run_outcome::kNotStarted;
   std::string reason{};
-  uint32_t run = 0;    ///< number used, or 0 if none was
+  uint32_t run = 0;  ///< number used, or 0 if none was
+  crash_role crash = crash_role::kNone;
   duration waited{0};  ///< from the arrival to the start
   duration ran{0};     ///< from the start to the end
 };
@@ -126,6 +134,7 @@
   kOtherIncarnation,  ///< not started: another incarnation of the target answered
   kUnhealthy,         ///< not started
   kInvalid,           ///< not started: the target rejects the call as malformed
+  kNoListener,        ///< not started: nothing listens at the target's address
   kUnknown,           ///< no answer: the target may still carry out the start, even later
 };
 
@@ -154,6 +163,7 @@
 /// Reason why a renewal failed.
 enum class renew_failure {
   kNoAnswer,
+  kNoListener,        ///< nothing listens at the target's address
   kFenced,            ///< another agent used a higher fence
   kOtherIncarnation,  ///< another incarnation of the target answered
   kRefused,           ///< anything else
--- a/libraries/leases/run_table.h
+++ b/libraries/leases/run_table.h
@@ -31,7 +31,8 @@
   uint64_t renewals_before = 0;  ///< serial of the newest renewal when the start was answered
   instant last_stop{};
   instant first_stop{};
-  bool may_have_run = false;    ///< in an earlier incarnation of the target
+  bool may_have_run = false;             ///< in an earlier incarnation of the target
+  crash_role crash = crash_role::kNone;  ///< in the end of an earlier incarnation
   bool stop_requested = false;  ///< by its entry, by the end of the session, or by the controller
   std::string reason{};         ///< why the stop was requested
 };
--- a/libraries/leases/target_answers.cc
+++ b/libraries/leases/target_answers.cc
@@ -23,6 +23,10 @@
   // The process may have been frozen: expired leases are handled before answers that arrived in the
   // meantime.
   Expire(now);
+  if (answer == start_answer::kNoListener) {
+    OnNoListener(now);
+    answer = start_answer::kUnknown;
+  }
   bool other_incarnation = clock_ms.has_value() && clock_.IsOfAnotherIncarnation(*clock_ms);
   if (other_incarnation && incarnation_.has_value()) {
     // The announcement of the new incarnation follows; until then the start is in doubt.
@@ -33,6 +37,7 @@
     clock_.Observe(*clock_ms, now);
   }
   if (answer != start_answer::kUnknown && incarnation_.has_value()) {
+    refuses_since_.reset();
     incarnation_->last_answer = now;
   }
   auto found = runs_.find(serial);
@@ -54,6 +59,7 @@
         SendStop(serial, run, now);
       }
       return;
+    case start_answer::kNoListener:
     case start_answer::kUnknown:
       LogRunEvent("start_unanswered", run, "");
       short_renewals_until_ = now + options_.short_renew_period;
@@ -121,6 +127,7 @@
     return;
   }
   clock_.Observe(report.clock_ms, now);
+  refuses_since_.reset();
   incarnation_->failures = 0;
   incarnation_->last_answer = now;
   incarnation_->reachable = true;
@@ -217,7 +224,10 @@
     return;
   }
   Expire(now);
-  if (failure == renew_failure::kNoAnswer) {
+  if (failure == renew_failure::kNoListener) {
+    OnNoListener(now);
+  }
+  if (failure == renew_failure::kNoAnswer || failure == renew_failure::kNoListener) {
     short_renewals_until_ = now + options_.short_renew_period;
   }
   if (failure == renew_failure::kFenced) {
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -46,6 +46,18 @@
   return "unknown";
 }
 
+std::string_view RoleName(crash_role role) {
+  switch (role) {
+    case crash_role::kNone:
+      return "none";
+    case crash_role::kBystander:
+      return "bystander";
+    case crash_role::kSuspect:
+      return "suspect";
+  }
+  return "unknown";
+}
+
 /// @return a fence higher than those of earlier agents on this VM
 uint64_t FirstFence() {
   auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -190,6 +202,7 @@
            {"run", result.run},
            {"outcome", OutcomeName(result.outcome)},
            {"reason", result.reason},
+           {"crash", RoleName(result.crash)},
            {"waited_ms", ToMilliseconds(result.waited)},
            {"ran_ms", ToMilliseconds(result.ran)}});
   results_->Add({{"outcome", std::string(OutcomeName(result.outcome))}, {"reason", result.reason}})
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -87,9 +87,43 @@
     controller.OnReportAnswered(kSession, now);
     controller.Tick(now);
   }
+  /// The target's process ends: the open renewal breaks, and so do all later connections.
+  void TargetCrashes() {
+    controller.OnRenewFailed(renewals.back().serial, renew_failure::kNoAnswer, now);
+    controller.OnRenewFailed(renewals.back().serial, renew_failure::kNoListener, now);
+  }
   reported_run RunOf(const start_call& start) { return {.task = start.task, .run = start.run}; }
 };
 
+TEST(RunController, ALostRunSaysWhetherItHadBegunJustBeforeTheCrash) {
+  Ready();
+  controller.Order(MakeOrder(1), now);
+  controller.OnStartAnswered(starts.at(0).serial, start_answer::kStarted, ClockMs(), now);
+  Advance(Ms(150));
+  AnswerRenewal({RunOf(starts[0])});
+  controller.Order(MakeOrder(2), now);
+  now += Ms(10);
+  TargetCrashes();
+  for (int ticks = 0; ticks < 30 && results.size() < 2; ++ticks) {
+    Advance(Ms(50));
+  }
+  CHECK(results.at(0).outcome == run_outcome::kLost);
+  CHECK(results[0].crash == crash_role::kBystander);
+  CHECK(results.at(1).outcome == run_outcome::kLost);
+  CHECK(results[1].crash == crash_role::kSuspect);
+}
+
+TEST(RunController, ARunLostOnASilentTargetHasNoPartInACrash) {
+  Ready();
+  controller.Order(MakeOrder(1), now);
+  controller.OnStartAnswered(starts.at(0).serial, start_answer::kStarted, ClockMs(), now);
+  for (int ticks = 0; ticks < 30 && results.empty(); ++ticks) {
+    Advance(Ms(50));
+  }
+  CHECK(results.at(0).outcome == run_outcome::kLost);
+  CHECK(results[0].crash == crash_role::kNone);
+}
+
 TEST(RunController, StartsNothingBeforeTheTargetIsTakenOver) {
   controller.OnSessionOpened(kSession, now);
   controller.OnTargetAnnounced(MakeAnnouncement(), now);
