A start on a refused connection is given back at once as not started

Cause: a connection that was refused, on which nothing was sent, was taken for an answer that was lost. Such starts waited 0.8 s for the lease to lapse, and entries went on ordering for 170 ms until the target counted as unreachable. Change: a refused start is not started ('target_gone') and is placed elsewhere at once; a target that refuses connections is no longer served, from the first such call on. Runs that may be alive keep the lease. Why it works: a connect() that was refused carried no byte, so 'not started' is certain. Measured: RunController.AStartOnARefusedConnectionIsGivenBackAtOnceAsNotStarted and ACrashedTargetIsSentNothingMore fail on the old code.

--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -347,7 +347,9 @@
     return;
   }
   refuses_since_ = now;
+  incarnation_->reachable = false;
   log_({.fact = "target_refuses_connections", .detail = incarnation_->announced.id});
+  RefuseUnstartable(now);
 }
 
 crash_role run_controller::RoleOf(const tracked_run& run) const {
--- a/libraries/leases/target_answers.cc
+++ b/libraries/leases/target_answers.cc
@@ -25,7 +25,6 @@
   Expire(now);
   if (answer == start_answer::kNoListener) {
     OnNoListener(now);
-    answer = start_answer::kUnknown;
   }
   bool other_incarnation = clock_ms.has_value() && clock_.IsOfAnotherIncarnation(*clock_ms);
   if (other_incarnation && incarnation_.has_value()) {
@@ -36,7 +35,8 @@
   } else if (clock_ms.has_value() && answer != start_answer::kOtherIncarnation) {
     clock_.Observe(*clock_ms, now);
   }
-  if (answer != start_answer::kUnknown && incarnation_.has_value()) {
+  bool answered = answer != start_answer::kUnknown && answer != start_answer::kNoListener;
+  if (answered && incarnation_.has_value()) {
     refuses_since_.reset();
     incarnation_->last_answer = now;
   }
@@ -47,7 +47,7 @@
   tracked_run& run = found->second;
   if (answer == start_answer::kUnknown) {
     start_timeout_.OnTimeout();
-  } else {
+  } else if (answered) {
     start_timeout_.OnAnswer(now - run.started);
   }
   switch (answer) {
@@ -60,6 +60,8 @@
       }
       return;
     case start_answer::kNoListener:
+      Finish(found->first, run_outcome::kNotStarted, "target_gone", now);
+      return;
     case start_answer::kUnknown:
       LogRunEvent("start_unanswered", run, "");
       short_renewals_until_ = now + options_.short_renew_period;
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -113,6 +113,23 @@
   CHECK(results[1].crash == crash_role::kSuspect);
 }
 
+TEST(RunController, AStartOnARefusedConnectionIsGivenBackAtOnceAsNotStarted) {
+  Ready();
+  controller.Order(MakeOrder(1), now);
+  controller.OnStartAnswered(starts.at(0).serial, start_answer::kNoListener, std::nullopt, now);
+  CHECK(results.at(0).outcome == run_outcome::kNotStarted);
+  CHECK_EQUAL(0, controller.size());
+}
+
+TEST(RunController, ACrashedTargetIsSentNothingMore) {
+  Ready();
+  TargetCrashes();
+  CHECK(controller.Load().state == target_availability::kAbsent);
+  controller.Order(MakeOrder(1), now);
+  CHECK_EQUAL(0, starts.size());
+  CHECK(results.at(0).outcome == run_outcome::kNotStarted);
+}
+
 TEST(RunController, ARunLostOnASilentTargetHasNoPartInACrash) {
   Ready();
   controller.Order(MakeOrder(1), now);
