A remembered capacity starts nothing on targets that don't guard theirs

Cause: an agent that restarts serves at once with the announcement that it saved at the target's start. If the capacity has shrunk since, it starts too much until the target's next heartbeat, up to 1.5 s. Evidence: the new test below. Change: a remembered target of a service that doesn't guard its capacity waits for the target's own heartbeat; an announcement with another capacity is saved too. Measured: RunController.ARememberedCapacityOfATargetThatGuardsNoneStartsNothing fails with the check taken out.

--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -95,6 +95,12 @@
 
 void run_controller::SetPlan(const operating_plan& plan, instant now) {
   leaving_domains_ = plan.leaving_domains;
+  guarded_services_.clear();
+  for (const service_plan& service : plan.services) {
+    if (service.targets_guard_capacity) {
+      guarded_services_.insert(service.name);
+    }
+  }
   RefuseUnstartable(now);
 }
 
@@ -127,7 +133,12 @@
 
 bool run_controller::MayStart() const {
   return Ready() && clock_.known() && !incarnation_->announced.draining &&
-         !leaving_domains_.contains(domain_);
+         !leaving_domains_.contains(domain_) && IsCapacityCurrentOrGuarded();
+}
+
+bool run_controller::IsCapacityCurrentOrGuarded() const {
+  const target_announcement& announced = incarnation_->announced;
+  return !announced.is_remembered || guarded_services_.contains(announced.service);
 }
 
 bool run_controller::StopOverdue(instant now) const {
@@ -424,7 +435,7 @@
     return load;
   }
   const target_announcement& announced = incarnation_->announced;
-  bool usable = Ready() && clock_.known();
+  bool usable = Ready() && clock_.known() && IsCapacityCurrentOrGuarded();
   if (usable) {
     load.state =
         announced.draining ? target_availability::kDraining : target_availability::kServing;
--- a/libraries/leases/run_controller.h
+++ b/libraries/leases/run_controller.h
@@ -143,6 +143,8 @@
   void EndIncarnation(std::string_view reason);
   void BeginIncarnationUnderSameId(const target_announcement& announcement, instant now);
   bool MayStart() const;
+  /// @return whether a start beyond the target's capacity can do no harm
+  bool IsCapacityCurrentOrGuarded() const;
   bool StopOverdue(instant now) const;
   task_resources Free() const;
 
@@ -187,6 +189,7 @@
   run_table runs_;
   std::map<session_id, instant> sessions_;  ///< end of the session lease of each
   std::set<std::string> leaving_domains_;
+  std::set<std::string> guarded_services_;  ///< whose targets refuse what exceeds their capacity
   uint64_t fence_;
   uint64_t next_serial_ = 1;
   /// Renewals without an answer, by serial: the fence they carried.
--- a/libraries/leases/run_events.h
+++ b/libraries/leases/run_events.h
@@ -30,6 +30,8 @@
   task_resources capacity{};
   std::optional<int64_t> clock_ms{};  ///< the target's steady clock
   uint64_t sequence = 0;              ///< of the announcements of one incarnation
+  /// Read back from the store: the target may have changed since, its capacity included.
+  bool is_remembered = false;
 };
 
 /// Order of an entry to start a task.
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -236,7 +236,8 @@
 void agent_service::OnAnnouncement(const target_announcement& announcement) {
   bool is_new = !last_announcement_.has_value() || last_announcement_->id != announcement.id ||
                 last_announcement_->start_time_ms != announcement.start_time_ms ||
-                last_announcement_->draining != announcement.draining;
+                last_announcement_->draining != announcement.draining ||
+                last_announcement_->capacity != announcement.capacity;
   controller_->OnTargetAnnounced(announcement, BootTimeNow());
   if (is_new) {
     LogFact(log_level::kInfo, "target_announced",
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -141,6 +141,60 @@
   CHECK(results[0].crash == crash_role::kNone);
 }
 
+TEST(RunController, AShrunkCapacityStartsNothingUntilWhatRunsLeavesRoom) {
+  Ready();
+  controller.Order(MakeOrder(1, 8000), now);
+  controller.OnStartAnswered(starts.at(0).serial, start_answer::kStarted, ClockMs(), now);
+  target_announcement shrunk = MakeAnnouncement();
+  shrunk.capacity.cpu = 6000;
+  controller.OnTargetAnnounced(shrunk, now);
+  CHECK(controller.Load().free.cpu < 0);
+  controller.Order(MakeOrder(2, 2000), now);
+  CHECK_EQUAL(1, starts.size());
+  Advance(Ms(50));
+  AnswerRenewal({}, {{.number = 1, .task = starts[0].task, .run = 1, .kind = end_kind::kDone}});
+  controller.Order(MakeOrder(3, 4000), now);
+  controller.Order(MakeOrder(4, 4000), now);
+  CHECK_EQUAL(2, starts.size());
+}
+
+TEST(RunController, AGrownCapacityIsUsedAtOnce) {
+  Ready();
+  controller.Order(MakeOrder(1, 8000), now);
+  target_announcement grown = MakeAnnouncement();
+  grown.capacity.cpu = 20'000;
+  controller.OnTargetAnnounced(grown, now);
+  CHECK_EQUAL(12'000, controller.Load().free.cpu);
+  controller.Order(MakeOrder(2, 12'000), now);
+  CHECK_EQUAL(2, starts.size());
+}
+
+TEST(RunController, ARememberedCapacityOfATargetThatGuardsNoneStartsNothing) {
+  controller.SetPlan({.services = {{.name = "lights", .targets_guard_capacity = false}}}, now);
+  target_announcement remembered = MakeAnnouncement();
+  remembered.is_remembered = true;
+  controller.OnTargetAnnounced(remembered, now);
+  AnswerRenewal();
+  controller.OnSessionOpened(kSession, now);
+  controller.Order(MakeOrder(1), now);
+  CHECK_EQUAL(0, starts.size());
+  CHECK(controller.Load().state == target_availability::kAbsent);
+  controller.OnTargetAnnounced(MakeAnnouncement(), now);
+  controller.Order(MakeOrder(2), now);
+  CHECK_EQUAL(1, starts.size());
+}
+
+TEST(RunController, ARememberedTargetThatGuardsItsCapacityServesAtOnce) {
+  controller.SetPlan({.services = {{.name = "lights", .targets_guard_capacity = true}}}, now);
+  target_announcement remembered = MakeAnnouncement();
+  remembered.is_remembered = true;
+  controller.OnTargetAnnounced(remembered, now);
+  AnswerRenewal();
+  controller.OnSessionOpened(kSession, now);
+  controller.Order(MakeOrder(1), now);
+  CHECK_EQUAL(1, starts.size());
+}
+
 TEST(RunController, StartsNothingBeforeTheTargetIsTakenOver) {
   controller.OnSessionOpened(kSession, now);
   controller.OnTargetAnnounced(MakeAnnouncement(), now);
