Only a run that had begun has a part in a crash

Cause: a start without an answer counted as a run that had begun just before the crash. Change: only runs whose start was answered, or that were listed, have a part in a crash; the end of a target that had announced that it drains is no crash. Measured: RunController.AStartWithoutAnAnswerHasNoPartInACrash and ARunOnATargetThatEndsAsAnnouncedHasNoPartInACrash fail on the code before.

--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -364,7 +364,10 @@
 }
 
 crash_role run_controller::RoleOf(const tracked_run& run) const {
-  if (!refuses_since_.has_value()) {
+  // A start without an answer may never have begun; a target that drains ends as announced.
+  bool has_begun = run.state == run_state::kRunning || run.state == run_state::kStopping;
+  bool is_planned = incarnation_.has_value() && incarnation_->announced.draining;
+  if (!refuses_since_.has_value() || !has_begun || is_planned) {
     return run.crash;
   }
   bool just_begun = run.started + options_.suspect_age >= *refuses_since_;
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -102,6 +102,7 @@
   Advance(Ms(150));
   AnswerRenewal({RunOf(starts[0])});
   controller.Order(MakeOrder(2), now);
+  controller.OnStartAnswered(starts.at(1).serial, start_answer::kStarted, ClockMs(), now);
   now += Ms(10);
   TargetCrashes();
   for (int ticks = 0; ticks < 30 && results.size() < 2; ++ticks) {
@@ -130,6 +131,32 @@
   CHECK(results.at(0).outcome == run_outcome::kNotStarted);
 }
 
+TEST(RunController, AStartWithoutAnAnswerHasNoPartInACrash) {
+  Ready();
+  controller.Order(MakeOrder(1), now);
+  controller.OnStartAnswered(starts.at(0).serial, start_answer::kUnknown, std::nullopt, now);
+  TargetCrashes();
+  for (int ticks = 0; ticks < 30 && results.empty(); ++ticks) {
+    Advance(Ms(50));
+  }
+  CHECK(results.at(0).crash == crash_role::kNone);
+}
+
+TEST(RunController, ARunOnATargetThatEndsAsAnnouncedHasNoPartInACrash) {
+  Ready();
+  controller.Order(MakeOrder(1), now);
+  controller.OnStartAnswered(starts.at(0).serial, start_answer::kStarted, ClockMs(), now);
+  target_announcement leaving = MakeAnnouncement();
+  leaving.draining = true;
+  controller.OnTargetAnnounced(leaving, now);
+  TargetCrashes();
+  for (int ticks = 0; ticks < 30 && results.empty(); ++ticks) {
+    Advance(Ms(50));
+  }
+  CHECK(results.at(0).outcome == run_outcome::kLost);
+  CHECK(results[0].crash == crash_role::kNone);
+}
+
 TEST(RunController, ARunLostOnASilentTargetHasNoPartInACrash) {
   Ready();
   controller.Order(MakeOrder(1), now);
