One odd row no longer ends the read of the whole table

Cause: ReadRows failed as a whole on a row without a key, with a value of another type or not in base64; the table was read again every 300 ms, with the same end. Agents then learn no entry from the store, and no process any change.

--- a/libraries/table/table.h
+++ b/libraries/table/table.h
@@ -45,6 +45,7 @@
   std::string key{};
   uint64_t revision = 0;               ///< of the transaction that last wrote the row
   std::optional<std::string> value{};  ///< empty when that transaction erased the row
+  bool is_readable = true;             ///< if not, the row exists and its value is unknown
   bool operator==(const table_row&) const = default;
 };
 
--- a/libraries/table/table_follower.cc
+++ b/libraries/table/table_follower.cc
@@ -17,8 +17,11 @@
     }
     OnSuccess();
     if (read->revision >= revision_) {
-      rows_.clear();
+      rows former = std::exchange(rows_, {});
       for (table_row& row : read->rows) {
+        if (!row.is_readable && former.contains(row.key)) {
+          row.value = former[row.key];
+        }
         if (row.value.has_value()) {
           rows_.insert_or_assign(std::move(row.key), *std::move(row.value));
         }
@@ -39,7 +42,7 @@
     for (table_row& row : changes->rows) {
       if (row.value.has_value()) {
         rows_.insert_or_assign(std::move(row.key), *std::move(row.value));
-      } else {
+      } else if (row.is_readable) {
         rows_.erase(row.key);
       }
     }
--- a/libraries/table/table_follower.h
+++ b/libraries/table/table_follower.h
@@ -20,7 +20,8 @@
 enum class rows_source { kRead, kPoll };
 
 /// Maintains a copy of some rows: reads them once, follows their changes, and rereads them after a
-/// failure or when changes were missed. The copy never reverts to an older revision. All calls go
+/// failure or when changes were missed. The copy never reverts to an older revision, and a row that
+/// can't be read keeps its last value. All calls go
 /// through hooks, which keeps it independent of sockets, threads and clocks.
 class table_follower {
  public:
--- a/tests/table/table_follower_test.cc
+++ b/tests/table/table_follower_test.cc
@@ -76,6 +76,21 @@
   CHECK_EQUAL(9, followed_after.at(1));
 }
 
+TEST(TableFollower, AnUnreadableRowKeepsItsLastValueAndTheOthersHold) {
+  table_row odd{.key = "a", .is_readable = false};
+  follower.Start();
+  reads.at(0)(Changes(5, {{.key = "a", .value = "1"}, {.key = "b", .value = "1"}}));
+  follows.at(0)(Changes(7, {odd, {.key = "b", .value = "2"}}));
+  STRCMP_EQUAL("1", rows["a"].c_str());
+  STRCMP_EQUAL("2", rows["b"].c_str());
+  follows.at(1)(absl::UnavailableError("gone"));
+  delayed.at(0)();
+  reads.at(1)(Changes(9, {odd, {.key = "c", .value = "3"}}));
+  STRCMP_EQUAL("1", rows["a"].c_str());
+  STRCMP_EQUAL("3", rows["c"].c_str());
+  CHECK_EQUAL(2, rows.size());
+}
+
 TEST(TableFollower, RereadsAfterAFailure) {
   follower.Start();
   reads.at(0)(Changes(5, {{.key = "a", .revision = 3, .value = "1"}}));
