A row that is no address is no entry

Cause: agents took each key of the rows of entries for an address and connected to it: a name would be looked up, 'unix:' opened a file, a port out of range was tried again for a minute and more. Measured: OddValues.AnOddRowAmongTheEntriesIsLeftOut. The former code passed every key on.

--- a/tests/platform/odd_values_test.cc
+++ b/tests/platform/odd_values_test.cc
@@ -3,6 +3,7 @@
 
 #include "platform/announcement_json.h"
 #include "platform/control_request.h"
+#include "platform/entry_rows.h"
 #include "platform/job_json.h"
 #include "platform/peer_address.h"
 #include "platform/plan_json.h"
@@ -60,6 +61,15 @@
   CHECK(IsAddress("10.0.0.1:65535"));
 }
 
+TEST(OddValues, AnOddRowAmongTheEntriesIsLeftOut) {
+  std::vector<std::string> addresses = EntryAddresses({{"10.0.0.1:7420", "{}"},
+                                                       {"10.0.0.1:70000", "{}"},
+                                                       {"10.0.0.2:7420", std::string(kDeep, '[')},
+                                                       {"a.example:80", "{}"},
+                                                       {"unix:/tmp/x", "{}"}});
+  CHECK(addresses == (std::vector<std::string>{"10.0.0.1:7420", "10.0.0.2:7420"}));
+}
+
 TEST(OddValues, ANumberOutOfRangeInAJobIsRefused) {
   CHECK(ReadJob(kJob).ok());
   for (const char* number : {"22", "44", "55", "66", "77", "[0]"}) {
