--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -211,6 +211,15 @@
   CHECK_EQUAL(1, starts.size());
 }
 
+TEST(RunController, ARememberedTargetOfAnotherWriterDoesNotOutdateTheRealOne) {
+  target_announcement odd = MakeAnnouncement("i-odd", 4'000'000'000'000);
+  odd.is_remembered = true;
+  controller.OnTargetAnnounced(odd, now);
+  Ready();
+  controller.Order(MakeOrder(1), now);
+  STRCMP_EQUAL("i-1", starts.at(0).instance.c_str());
+}
+
 TEST(RunController, ARememberedTargetThatGuardsItsCapacityServesAtOnce) {
   controller.SetPlan({.services = {{.name = "lights", .targets_guard_capacity = true}}}, now);
   target_announcement remembered = MakeAnnouncement();
