--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -25,9 +25,9 @@
     bool same_incarnation =
         known.id == announcement.id && known.start_time_ms == announcement.start_time_ms;
     // What was read back may be of another writer: the target's own word goes first.
-    bool outdated = !known.is_remembered &&
-                    (announcement.start_time_ms < known.start_time_ms ||
-                     (same_incarnation && announcement.sequence < known.sequence));
+    bool outdated =
+        !known.is_remembered && (announcement.start_time_ms < known.start_time_ms ||
+                                 (same_incarnation && announcement.sequence < known.sequence));
     if (outdated) {
       return;
     }
--- a/libraries/leases/run_events.h
+++ b/libraries/leases/run_events.h
@@ -75,10 +75,10 @@
   task_ref task{};
   run_outcome outcome = run_outcome::kNotStarted;
   std::string reason{};
-  uint32_t run = 0;  ///< number used, or 0 if none was
-  crash_role crash = crash_role::kNone;
-  duration waited{0};  ///< from the arrival to the start
-  duration ran{0};     ///< from the start to the end
+  uint32_t run = 0;                      ///< number used, or 0 if none was
+  crash_role crash = crash_role::kNone;  ///< with kLost
+  duration waited{0};                    ///< from the arrival to the start
+  duration ran{0};                       ///< from the start to the end
 };
 
 enum class target_availability { kAbsent, kServing, kDraining };
--- a/libraries/scheduler/job_scheduler.cc
+++ b/libraries/scheduler/job_scheduler.cc
@@ -373,7 +373,7 @@
 std::vector<std::string> job_scheduler::ExcludedForSuspect(const task& item) const {
   std::vector<std::string> excluded = item.excluded;
   std::ranges::transform(suspects_at_, std::back_inserter(excluded),
-                         [](const auto& item) { return item.first; });
+                         [](const auto& suspects) { return suspects.first; });
   return excluded;
 }
 
--- a/libraries/session/agent_sessions.cc
+++ b/libraries/session/agent_sessions.cc
@@ -100,6 +100,8 @@
 }
 
 void agent_sessions::OnReport(session_id id, session_wire::Report::Reader report) {
+  // The hooks may close the session.
+  const std::string agent = sessions_.at(id).identity.name;
   hooks_.report_received(id, Read(report.getLoad()));
   for (auto crash : report.getCrashes()) {
     hooks_.task_crashed(Read(crash));
@@ -108,7 +110,7 @@
     hooks_.result(Read(result, id));
   }
   if (report.hasPlan() && report.getPlan().getRevision() > hooks_.plan().revision) {
-    hooks_.newer_plan(Read(report.getPlan()), sessions_.at(id).identity.name);
+    hooks_.newer_plan(Read(report.getPlan()), agent);
   }
   for (const std::string& address : Read(report.getOtherEntries())) {
     hooks_.entry_reported(address);
