review: case 4: a late start in a new incarnation, in place of the hang

Cause: a start carries nothing that tells the incarnations of a target apart, and entries place a task elsewhere by time alone.

The stand-ins get routes, jobs that are sent again and a relay to the store; cases 1 to 3 use them too.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,9 +2,10 @@
 # Builds the stand-ins and the program of each case into review/bin.
 set -eu
 cd "$(dirname "$0")/.."
+rm -rf review/bin
 mkdir -p review/bin
 objects=
-for name in http record store worker cluster; do
+for name in sockets http record store relay worker cluster; do
   g++ -std=c++20 -O1 -g -Wall -Wextra -I. -c "review/stand_ins/$name.cc" -o "review/bin/$name.o" &
   objects="$objects review/bin/$name.o"
 done
--- a/review/stand_ins/cluster.cc
+++ b/review/stand_ins/cluster.cc
@@ -22,10 +22,14 @@
 constexpr int kControl = 8166;
 constexpr int kReady = 8167;
 constexpr int kStorePort = 8169;
+constexpr int kStoreLinkPort = 8168;
 constexpr int kWorkerPort = 8165;
 constexpr int kForeignPort = 8171;
 constexpr int64_t kStartLimitMs = 20'000;
 constexpr int64_t kDeadlineMs = 1500;
+constexpr int64_t kResendMs = 1300;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
 constexpr std::array kZones = {"kandy-a", "peradeniya-b", "katugastota-c"};
 
 std::string At(const std::string& ip, int port) { return ip + ":" + std::to_string(port); }
@@ -140,7 +144,7 @@
          "bounds.grace_s=6\nbounds.config_apply_ms=2000\nbounds.max_hold_ms=1000\n"
          "bounds.stop_timeout_ms=50\nbounds.cancel_ms=3000\nbounds.resend_ms=1300\n"
          "orders=rpc\nplatform.addr=" +
-         At(prefix_ + "0.1", kStorePort) + "\nplatform.form=table\nplatform.across=true\n";
+         At(prefix_ + "0.1", kStoreLinkPort) + "\nplatform.form=table\nplatform.across=true\n";
 }
 
 bool cluster::ChooseAddresses() {
@@ -157,28 +161,11 @@
 }
 
 bool cluster::Start() {
-  if (!ChooseAddresses()) {
+  if (!ChooseAddresses() ||
+      !store_link_.Start(At(prefix_ + "0.1", kStoreLinkPort), At(prefix_ + "0.1", kStorePort))) {
     return false;
   }
-  json configuration = {{"version", 7},
-                        {"routes",
-                         {{{"name", "between-game-dim"},
-                           {"host", host_},
-                           {"path_prefix", path_prefix_},
-                           {"service", service_},
-                           {"kind", "unsafe"},
-                           {"timeout_ms", kDeadlineMs},
-                           {"target_latency_ms", 60},
-                           {"max_attempts", 4},
-                           {"priority", 1},
-                           {"stretch", 1.6}}}},
-                        {"services",
-                         {{{"name", service_},
-                           {"health_path", "/health"},
-                           {"max_conns", 64},
-                           {"rejects_overload", true}}}},
-                        {"limits", {{"max_body_bytes", 262144}}}};
-  store_.Put("op", "config", configuration.dump());
+  PutConfiguration(7, kDeadlineMs, {path_prefix_});
   for (size_t number = 0; number < options_.entries; ++number) {
     std::string name = "edge-" + std::to_string(number + 1);
     std::string ip = prefix_ + "1." + std::to_string(number + 1);
@@ -201,6 +188,34 @@
   return AwaitReady() && WarmUp();
 }
 
+void cluster::PutConfiguration(int version, int64_t timeout_ms,
+                               const std::vector<std::string>& prefixes) {
+  json routes = json::array();
+  for (const std::string& prefix : prefixes) {
+    routes.push_back({{"name", "r" + std::to_string(routes.size())},
+                      {"host", host_},
+                      {"path_prefix", prefix},
+                      {"service", service_},
+                      {"kind", "unsafe"},
+                      {"timeout_ms", timeout_ms},
+                      {"target_latency_ms", 60},
+                      {"max_attempts", 4},
+                      {"priority", 1},
+                      {"stretch", 1.6}});
+  }
+  json service = {{"name", service_},
+                  {"health_path", "/health"},
+                  {"max_conns", 64},
+                  {"rejects_overload", true}};
+  json configuration = {{"version", version},
+                        {"routes", routes},
+                        {"services", json::array({service})},
+                        {"limits", {{"max_body_bytes", 262144}}}};
+  store_.Put("op", "config", configuration.dump());
+  notes_.Write("the store has acknowledged version " + std::to_string(version) + " with " +
+               std::to_string(prefixes.size()) + " routes");
+}
+
 bool cluster::AwaitReady() {
   int64_t end = NowMs() + kStartLimitMs;
   for (size_t number = 0; number < options_.entries; ++number) {
@@ -236,11 +251,16 @@
   return true;
 }
 
-void cluster::SubmitMany(uint64_t first, size_t jobs, size_t tasks, int64_t task_ms) {
+void cluster::SubmitMany(uint64_t first, size_t jobs, size_t tasks, int64_t task_ms,
+                         bool sent_again) {
   std::vector<std::thread> clients;
   for (size_t number = 0; number < jobs; ++number) {
-    clients.emplace_back([this, first, number, tasks, task_ms] {
-      Submit(number % options_.entries, JobId(first + number), tasks, task_ms);
+    clients.emplace_back([this, first, number, tasks, task_ms, sent_again] {
+      int status = Submit(number % options_.entries, JobId(first + number), tasks, task_ms);
+      if (sent_again && (status == 0 || status == kBadGateway || status == kGatewayTimeout)) {
+        SleepMs(kResendMs);
+        Submit((number + 1) % options_.entries, JobId(first + number), tasks, task_ms);
+      }
     });
   }
   for (std::thread& client : clients) {
@@ -257,10 +277,16 @@
 }
 
 int cluster::Submit(size_t entry, const std::string& id, size_t tasks, int64_t task_ms) {
-  notes_.Write("client sends job " + id + " to edge-" + std::to_string(entry + 1));
+  return SubmitTo(path_prefix_, entry, id, tasks, task_ms);
+}
+
+int cluster::SubmitTo(const std::string& prefix, size_t entry, const std::string& id, size_t tasks,
+                      int64_t task_ms) {
+  notes_.Write("client sends job " + id + " to edge-" + std::to_string(entry + 1) + ", path " +
+               prefix);
   auto answer = Call(FrontOf(entry),
                      {.method = "POST",
-                      .target = path_prefix_ + id,
+                      .target = prefix + id,
                       .headers = {{"host", host_}, {"deadline-ms", std::to_string(kDeadlineMs)}},
                       .body = JobBody(tasks, task_ms)},
                      milliseconds(kDeadlineMs));
--- a/review/stand_ins/cluster.h
+++ b/review/stand_ins/cluster.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "record.h"
+#include "relay.h"
 #include "store.h"
 #include "worker.h"
 
@@ -56,8 +57,18 @@
   /// @param tasks number of tasks, of `task_ms` each
   /// @return status of the answer, or 0 without an answer
   int Submit(size_t entry, const std::string& id, size_t tasks, int64_t task_ms);
+  /// The same, on the route with this prefix.
+  int SubmitTo(const std::string& prefix, size_t entry, const std::string& id, size_t tasks,
+               int64_t task_ms);
   /// Sends jobs at once, each to another entry in turn, and waits for their answers.
-  void SubmitMany(uint64_t first, size_t jobs, size_t tasks, int64_t task_ms);
+  /// @param sent_again whether a job without an answer, or with 502 or 504, is sent once more
+  void SubmitMany(uint64_t first, size_t jobs, size_t tasks, int64_t task_ms,
+                  bool sent_again = false);
+  /// Writes a configuration as the operator does.
+  /// @param prefixes of the routes
+  void PutConfiguration(int version, int64_t timeout_ms, const std::vector<std::string>& prefixes);
+  relay& StoreLink() { return store_link_; }
+  const std::string& path_prefix() const { return path_prefix_; }
   /// @return the body of a job with one step
   std::string JobBody(size_t tasks, int64_t task_ms) const;
   std::string FrontOf(size_t entry) const;
@@ -93,6 +104,7 @@
   std::string host_;
   std::string path_prefix_;
   store store_;
+  relay store_link_;  ///< between the store and all processes
   std::vector<std::unique_ptr<node>> entries_;
   std::vector<std::unique_ptr<node>> agents_;
   std::vector<std::unique_ptr<worker>> workers_;
--- a/review/stand_ins/http.cc
+++ b/review/stand_ins/http.cc
@@ -1,6 +1,6 @@
 #include "http.h"
 
-#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -11,6 +11,8 @@
 #include <cctype>
 #include <cstdlib>
 
+#include "sockets.h"
+
 namespace review {
 namespace {
 
@@ -19,25 +21,6 @@
 constexpr int kBacklog = 128;
 constexpr size_t kBufferSize = 65536;
 
-bool ParseAddress(const std::string& text, sockaddr_in& address) {
-  size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  address = {};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<uint16_t>(std::atoi(text.c_str() + colon + 1)));
-  return inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) == 1;
-}
-
-int NewSocket() {
-  int created = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  int one = 1;
-  setsockopt(created, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-  setsockopt(created, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-  return created;
-}
-
 bool SendAll(int socket, const std::string& text) {
   size_t sent = 0;
   while (sent < text.size()) {
@@ -163,15 +146,8 @@
 }  // namespace
 
 bool http_server::Start(const std::string& address) {
-  sockaddr_in parsed{};
-  if (!ParseAddress(address, parsed)) {
-    return false;
-  }
-  int created = NewSocket();
-  bool listening = bind(created, reinterpret_cast<sockaddr*>(&parsed), sizeof(parsed)) == 0 &&
-                   listen(created, kBacklog) == 0;
-  if (!listening) {
-    close(created);
+  int created = ListenAt(address, kBacklog);
+  if (created < 0) {
     return false;
   }
   listener_ = created;
@@ -239,20 +215,17 @@
 
 std::optional<http_message> Call(const std::string& address, const http_message& request,
                                  milliseconds timeout) {
-  sockaddr_in parsed{};
-  if (!ParseAddress(address, parsed)) {
+  int socket = ConnectTo(address);
+  if (socket < 0) {
     return std::nullopt;
   }
-  int socket = NewSocket();
+  http_message full = request;
+  full.headers.try_emplace("host", address);
+  full.headers.try_emplace("content-type", "application/json");
+  std::string line = request.method + " " + request.target + " HTTP/1.1\r\n";
   std::optional<http_message> response;
-  if (connect(socket, reinterpret_cast<sockaddr*>(&parsed), sizeof(parsed)) == 0) {
-    http_message full = request;
-    full.headers.try_emplace("host", address);
-    full.headers.try_emplace("content-type", "application/json");
-    std::string line = request.method + " " + request.target + " HTTP/1.1\r\n";
-    if (SendAll(socket, line + HeadersOf(full))) {
-      response = message_reader(socket, steady::now() + timeout).Next();
-    }
+  if (SendAll(socket, line + HeadersOf(full))) {
+    response = message_reader(socket, steady::now() + timeout).Next();
   }
   close(socket);
   return response;
