An announced successor replaces the target in use only once it has answered

Cause: run_controller took any announcement with another id and no earlier start time as proof that the target in use had ended (EndIncarnation "replaced"), and reported its runs as lost at once. An announcement proves nothing: it may be late or of another writer.

Change: while the target is in use (it answers, or a run may be on it), an announcement of another id at the same address is a successor that is asked first, under its id. Only one process listens at an address, so its answer shows that the former one has ended; 421 shows that it hasn't, and silence shows nothing (asked again every 50 ms; leases expire meanwhile). At another address nothing can be shown, so it waits for the leases. The agent logs and saves in the store only the target in use.

ReportsRunsOfAReplacedTargetAsLost asked that the announcement alone loses the runs, which is the fault. It now asks that nothing is lost before the successor's answer, that the runs are lost with it, and that the successor then serves.

--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -20,28 +20,40 @@
       fence_(options.fence) {}
 
 void run_controller::OnTargetAnnounced(const target_announcement& announcement, instant now) {
-  if (incarnation_.has_value()) {
-    const target_announcement& known = incarnation_->announced;
-    bool same_incarnation =
-        known.id == announcement.id && known.start_time_ms == announcement.start_time_ms;
-    // What was read back may be of another writer: the target's own word goes first.
-    bool outdated =
-        !known.is_remembered && (announcement.start_time_ms < known.start_time_ms ||
-                                 (same_incarnation && announcement.sequence < known.sequence));
-    if (outdated) {
-      return;
-    }
-    if (same_incarnation) {
-      incarnation_->announced = announcement;
-    } else if (known.id == announcement.id) {
-      BeginIncarnationUnderSameId(announcement, now);
-    } else {
-      EndIncarnation("replaced");
-    }
-  }
   if (!incarnation_.has_value()) {
     BeginIncarnation(announcement, now);
+    Adopt(announcement, now);
+    return;
+  }
+  const target_announcement& known = incarnation_->announced;
+  if (IsOutdated(announcement)) {
+    return;
+  }
+  if (known.id != announcement.id) {
+    OnSuccessorAnnounced(announcement, now);
+    return;
+  }
+  if (known.start_time_ms == announcement.start_time_ms) {
+    incarnation_->announced = announcement;
+  } else {
+    BeginIncarnationUnderSameId(announcement, now);
   }
+  Adopt(announcement, now);
+}
+
+bool run_controller::IsOutdated(const target_announcement& announcement) const {
+  const target_announcement& known = incarnation_->announced;
+  // What was read back may be of another writer: the target's own word goes first.
+  if (known.is_remembered) {
+    return false;
+  }
+  bool same_incarnation =
+      known.id == announcement.id && known.start_time_ms == announcement.start_time_ms;
+  return announcement.start_time_ms < known.start_time_ms ||
+         (same_incarnation && announcement.sequence < known.sequence);
+}
+
+void run_controller::Adopt(const target_announcement& announcement, instant now) {
   domain_ = announcement.domain;
   if (announcement.clock_ms.has_value()) {
     // A delayed announcement makes the estimate lag behind the target's clock, so that lease ends
@@ -58,8 +70,15 @@
   }
 }
 
+void run_controller::ReplaceIncarnation(const target_announcement& announcement, instant now) {
+  EndIncarnation("replaced");
+  BeginIncarnation(announcement, now);
+  Adopt(announcement, now);
+}
+
 void run_controller::BeginIncarnation(const target_announcement& announcement, instant now) {
   incarnation_.emplace(announcement);
+  successor_.reset();
   clock_.Reset();
   speed_.Reset();
   start_timeout_.Reset();
@@ -88,6 +107,7 @@
 
 void run_controller::EndIncarnation(std::string_view reason) {
   incarnation_.reset();
+  successor_.reset();
   renewals_.clear();
   latest_lease_end_.reset();
   for (uint64_t serial : runs_.AtTarget()) {
@@ -417,6 +437,9 @@
   if (renewals_.empty() && next_renewal_ <= now) {
     Renew(duration::zero(), now);
   }
+  if (successor_.has_value() && !successor_->probe.has_value() && successor_->next_probe <= now) {
+    ProbeSuccessor(now);
+  }
 }
 
 void run_controller::Finish(uint64_t serial, run_outcome outcome, std::string reason, instant now) {
@@ -455,6 +478,10 @@
   return load;
 }
 
+const target_announcement* run_controller::Announced() const {
+  return incarnation_.has_value() ? &incarnation_->announced : nullptr;
+}
+
 bool run_controller::Settled() const {
   if (!incarnation_.has_value() || !incarnation_->taken_over) {
     return false;
--- a/libraries/leases/run_controller.h
+++ b/libraries/leases/run_controller.h
@@ -87,7 +87,8 @@
   /// @param log receives log events
   run_controller(run_controller_options options, call_hook call, result_hook result, log_hook log);
 
-  /// Handles an announcement of the target, whether repeated or the first of an incarnation.
+  /// Handles an announcement of the target, whether repeated or the first of an incarnation. One
+  /// that would replace a target in use takes effect once the target has answered under its id.
   void OnTargetAnnounced(const target_announcement& announcement, instant now);
   /// Handles the notice of a target that it terminates.
   void OnTargetDeparted(const std::string& id, instant now);
@@ -117,6 +118,8 @@
 
   /// @return the state to report to entries
   target_status Load() const;
+  /// @return the announcement of the target in use, or null if there is none
+  const target_announcement* Announced() const;
   /// @return whether no order of a closed session can still be running
   bool Settled() const;
   /// @return whether this session has orders without a final result
@@ -139,6 +142,24 @@
     instant last_result{};  ///< when a run was last reported as done or failed
   };
 
+  /// Another incarnation that was announced while the present one is in use. Announcements may be
+  /// late or of another writer; only one process listens at an address, so the target's answer
+  /// under the announced id shows that the present one has ended.
+  struct successor {
+    target_announcement announced;
+    std::optional<uint64_t> probe{};  ///< serial of the renewal without an answer
+    instant next_probe{};
+  };
+
+  bool IsOutdated(const target_announcement& announcement) const;
+  void Adopt(const target_announcement& announcement, instant now);
+  void OnSuccessorAnnounced(const target_announcement& announcement, instant now);
+  void ProbeSuccessor(instant now);
+  bool IsProbe(uint64_t serial) const;
+  void OnProbeAnswered(const target_report& report, instant now);
+  void OnProbeFailed(renew_failure failure);
+  void RejectSuccessor();
+  void ReplaceIncarnation(const target_announcement& announcement, instant now);
   void BeginIncarnation(const target_announcement& announcement, instant now);
   void EndIncarnation(std::string_view reason);
   void BeginIncarnationUnderSameId(const target_announcement& announcement, instant now);
@@ -182,6 +203,7 @@
   log_hook log_;
 
   std::optional<incarnation> incarnation_;
+  std::optional<successor> successor_;
   std::string domain_;
   target_clock clock_;
   run_speed speed_;
--- a/libraries/leases/target_answers.cc
+++ b/libraries/leases/target_answers.cc
@@ -112,6 +112,10 @@
 }
 
 void run_controller::OnRenewAnswered(uint64_t serial, const target_report& report, instant now) {
+  if (IsProbe(serial)) {
+    OnProbeAnswered(report, now);
+    return;
+  }
   auto renewal = renewals_.find(serial);
   if (renewal == renewals_.end() || !incarnation_.has_value()) {
     return;
@@ -222,6 +226,10 @@
 }
 
 void run_controller::OnRenewFailed(uint64_t serial, renew_failure failure, instant now) {
+  if (IsProbe(serial)) {
+    OnProbeFailed(failure);
+    return;
+  }
   if (renewals_.erase(serial) == 0 || !incarnation_.has_value()) {
     return;
   }
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -115,6 +115,7 @@
                  .renew_answered =
                      [this](uint64_t serial, const target_report& report) {
                        controller_->OnRenewAnswered(serial, report, BootTimeNow());
+                       NoteTarget();
                      },
                  .renew_failed =
                      [this](uint64_t serial, renew_failure failure) {
@@ -234,33 +235,51 @@
 }
 
 void agent_service::OnAnnouncement(const target_announcement& announcement) {
-  bool is_new = !last_announcement_.has_value() || last_announcement_->id != announcement.id ||
-                last_announcement_->start_time_ms != announcement.start_time_ms ||
-                last_announcement_->draining != announcement.draining ||
-                last_announcement_->capacity != announcement.capacity;
   controller_->OnTargetAnnounced(announcement, BootTimeNow());
-  if (is_new) {
-    LogFact(log_level::kInfo, "target_announced",
+  bool in_use = controller_->Announced()->id == announcement.id &&
+                controller_->Announced()->start_time_ms == announcement.start_time_ms;
+  if (!in_use) {
+    LogFact(log_level::kInfo, "target_not_in_use",
             {{"target", announcement.id},
              {"born", announcement.start_time_ms},
              {"service", announcement.service},
-             {"draining", announcement.draining},
-             {"cpu", announcement.capacity.cpu}});
-    last_announcement_ = announcement;
-    platform::SaveTarget(*store_, settings_.SessionAddress(settings_.ip), announcement);
+             {"address", announcement.address}});
   }
+  NoteTarget();
   ScheduleFlush();
 }
 
+void agent_service::NoteTarget() {
+  const target_announcement* current = controller_->Announced();
+  if (current == nullptr || current->is_remembered) {
+    return;
+  }
+  bool is_new = !noted_target_.has_value() || noted_target_->id != current->id ||
+                noted_target_->start_time_ms != current->start_time_ms ||
+                noted_target_->draining != current->draining ||
+                noted_target_->capacity != current->capacity;
+  if (!is_new) {
+    return;
+  }
+  LogFact(log_level::kInfo, "target_announced",
+          {{"target", current->id},
+           {"born", current->start_time_ms},
+           {"service", current->service},
+           {"draining", current->draining},
+           {"cpu", current->capacity.cpu}});
+  noted_target_ = *current;
+  platform::SaveTarget(*store_, settings_.SessionAddress(settings_.ip), *current);
+}
+
 void agent_service::LoadTarget() {
   platform::LoadTarget(*store_, settings_.SessionAddress(settings_.ip),
                        [this](const target_announcement& remembered) {
-                         if (last_announcement_.has_value()) {
+                         if (noted_target_.has_value()) {
                            return;
                          }
                          LogFact(log_level::kInfo, "target_recalled",
                                  {{"target", remembered.id}, {"born", remembered.start_time_ms}});
-                         last_announcement_ = remembered;
+                         noted_target_ = remembered;
                          controller_->OnTargetAnnounced(remembered, BootTimeNow());
                        });
 }
--- a/services/agentd/agent_service.h
+++ b/services/agentd/agent_service.h
@@ -39,6 +39,8 @@
   void FollowStore();
   void LoadTarget();
   void OnAnnouncement(const target_announcement& announcement);
+  /// Logs and saves the target in use, if it has changed.
+  void NoteTarget();
   void Tick();
   /// @param source "read" or "poll" of the store, or the entry that sent the plan
   void ApplyPlan(operating_plan plan, std::string_view source);
@@ -58,8 +60,8 @@
   std::unique_ptr<platform::store_client> store_;
   std::unique_ptr<table_follower> plan_follower_;
   std::unique_ptr<table_follower> entries_follower_;
-  /// The last announcement that differed from the one before.
-  std::optional<target_announcement> last_announcement_;
+  /// The target in use as it was last logged.
+  std::optional<target_announcement> noted_target_;
   bool flush_posted_ = false;
   // Servers with their own threads; destroyed first.
   std::unique_ptr<http_server> control_server_;
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -67,6 +67,12 @@
     controller.OnSessionOpened(kSession, now);
     CHECK(controller.Ready());
   }
+  /// Starts a first run on a target that serves.
+  void StartFirst() {
+    Ready();
+    controller.Order(MakeOrder(1), now);
+    controller.OnStartAnswered(starts.at(0).serial, start_answer::kStarted, ClockMs(), now);
+  }
   run_order MakeOrder(uint64_t number, int64_t cpu = 4000, session_id session = kSession) {
     return {.session = session,
             .order = number,
@@ -479,8 +485,78 @@
   controller.Order(MakeOrder(1), now);
   controller.OnStartAnswered(starts[0].serial, start_answer::kStarted, ClockMs(), now);
   controller.OnTargetAnnounced(MakeAnnouncement("i-2", 2), now);
+  CHECK_EQUAL(0, results.size());
+  STRCMP_EQUAL("i-2", renewals.back().instance.c_str());
+  AnswerRenewal();
   CHECK(results.at(0).outcome == run_outcome::kLost);
   CHECK(!controller.Ready());
+  AnswerRenewal();
+  CHECK(controller.Ready());
+}
+
+// Guards against TWICE: a foreign heartbeat ended the target in use, whose tasks began elsewhere
+// while they still ran.
+TEST(RunController, AForeignAnnouncementLosesNoRun) {
+  StartFirst();
+  controller.OnTargetAnnounced(MakeAnnouncement("i-foreign", 2000), now);
+  CHECK_EQUAL(0, results.size());
+  STRCMP_EQUAL("i-foreign", renewals.back().instance.c_str());
+  CHECK(!renewals.back().lease_until_ms.has_value());
+  controller.OnRenewFailed(renewals.back().serial, renew_failure::kOtherIncarnation, now);
+  CHECK_EQUAL(0, results.size());
+  STRCMP_EQUAL("i-1", controller.Load().target.c_str());
+  controller.Order(MakeOrder(2), now);
+  STRCMP_EQUAL("i-1", starts.at(1).instance.c_str());
+}
+
+// Guards against TWICE: an announced address where nothing of the target can be asked.
+TEST(RunController, AForeignAddressReplacesNoTargetInUse) {
+  StartFirst();
+  size_t asked = renewals.size();
+  target_announcement foreign = MakeAnnouncement("i-foreign", 2000);
+  foreign.address = "10.0.0.9:80";
+  controller.OnTargetAnnounced(foreign, now);
+  CHECK_EQUAL(0, results.size());
+  CHECK_EQUAL(asked, renewals.size());
+  STRCMP_EQUAL("i-1", controller.Load().target.c_str());
+}
+
+// Guards against TWICE: after a start of the agent a late heartbeat replaced the remembered target.
+TEST(RunController, ALateAnnouncementLosesNoRunOfARememberedTarget) {
+  controller.SetPlan({.services = {{.name = "lights", .targets_guard_capacity = true}}}, now);
+  target_announcement remembered = MakeAnnouncement("i-2", 2);
+  remembered.is_remembered = true;
+  controller.OnTargetAnnounced(remembered, now);
+  AnswerRenewal();
+  controller.OnSessionOpened(kSession, now);
+  controller.Order(MakeOrder(1), now);
+  controller.OnStartAnswered(starts.at(0).serial, start_answer::kStarted, ClockMs(), now);
+  controller.OnTargetAnnounced(MakeAnnouncement("i-1", 1), now);
+  CHECK_EQUAL(0, results.size());
+  controller.OnRenewFailed(renewals.back().serial, renew_failure::kOtherIncarnation, now);
+  CHECK_EQUAL(0, results.size());
+  STRCMP_EQUAL("i-2", controller.Load().target.c_str());
+}
+
+// An announced successor that gives no answer is asked again; runs are lost with their lease only.
+TEST(RunController, ASilentSuccessorIsAskedAgain) {
+  StartFirst();
+  controller.OnTargetAnnounced(MakeAnnouncement("i-2", 2), now);
+  controller.OnRenewFailed(renewals.back().serial, renew_failure::kNoAnswer, now);
+  CHECK_EQUAL(0, results.size());
+  Advance(Ms(50));
+  STRCMP_EQUAL("i-2", renewals.back().instance.c_str());
+  AnswerRenewal();
+  CHECK(results.at(0).outcome == run_outcome::kLost);
+  STRCMP_EQUAL("replaced", results[0].reason.c_str());
+}
+
+// A target that has ended and left nothing behind needs no answer of its successor.
+TEST(RunController, AnUnusedTargetIsReplacedAtOnce) {
+  Ready();
+  TargetCrashes();
+  controller.OnTargetAnnounced(MakeAnnouncement("i-2", 2), now);
+  STRCMP_EQUAL("i-2", controller.Load().target.c_str());
 }
 
 // Starts sent just before the restart may have reached the new incarnation, whose lease may be as
