The runs of a departing target are reported once their end is known

Callers saw: tasks ran twice at once (TWICE) whenever a target left with runs on it. No foreign message is needed for this, only a planned scale-in on a clock that is real.

Entries started them elsewhere at once.

Change: the notice stops the runs and ends the renewals of the lease; a run is reported when its end is listed, or when the lease has certainly expired. The target is forgotten once nothing can run on it.

--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -63,10 +63,25 @@
   RefuseUnstartable(now);
 }
 
-void run_controller::OnTargetDeparted(const std::string& id, instant now) {
-  if (incarnation_.has_value() && incarnation_->announced.id == id) {
+void run_controller::OnTargetDeparted(const target_departure& departure, instant now) {
+  if (!incarnation_.has_value() || incarnation_->announced.id != departure.id) {
+    return;
+  }
+  // The target ends some time after its notice, at the latest when its leases expire.
+  incarnation_->departed = true;
+  for (uint64_t serial : runs_.AtTarget()) {
+    tracked_run& run = runs_.find(serial)->second;
+    if (!run.stop_requested) {
+      Stop(serial, run, "departed", now);
+    }
+  }
+  ForgetDeparted();
+  RefuseUnstartable(now);
+}
+
+void run_controller::ForgetDeparted() {
+  if (incarnation_.has_value() && incarnation_->departed && runs_.AtTarget().empty()) {
     EndIncarnation("departed");
-    RefuseUnstartable(now);
   }
 }
 
@@ -150,7 +165,7 @@
 
 bool run_controller::Ready() const {
   return incarnation_.has_value() && incarnation_->taken_over && incarnation_->reachable &&
-         !leaving_;
+         !incarnation_->departed && !leaving_;
 }
 
 bool run_controller::MayStart() const {
@@ -327,7 +342,8 @@
 }
 
 std::optional<int64_t> run_controller::NextLease(instant now) {
-  if (!clock_.known() || StopOverdue(now)) {
+  bool departed = incarnation_.has_value() && incarnation_->departed;
+  if (!clock_.known() || departed || StopOverdue(now)) {
     return std::nullopt;
   }
   int64_t until = clock_.TargetTime(now) + ToMilliseconds(options_.lease);
@@ -434,6 +450,7 @@
   Expire(now);
   StopStalled(now);
   RetryStops(now);
+  ForgetDeparted();
   if (renewals_.empty() && next_renewal_ <= now) {
     Renew(duration::zero(), now);
   }
--- a/libraries/leases/run_controller.h
+++ b/libraries/leases/run_controller.h
@@ -90,8 +90,9 @@
   /// Handles an announcement of the target, whether repeated or the first of an incarnation. One
   /// that would replace a target in use takes effect once the target has answered under its id.
   void OnTargetAnnounced(const target_announcement& announcement, instant now);
-  /// Handles the notice of a target that it terminates.
-  void OnTargetDeparted(const std::string& id, instant now);
+  /// Handles the notice of a target that it terminates. Its runs end with it: they are stopped, and
+  /// reported once their end is known.
+  void OnTargetDeparted(const target_departure& departure, instant now);
   /// Sets the operators' current plan.
   void SetPlan(const operating_plan& plan, instant now);
 
@@ -136,6 +137,7 @@
     target_announcement announced;
     bool reachable = false;   ///< answers renewals; cleared when unreachable, lapsed or replaced
     bool taken_over = false;  ///< no runs of earlier agents are left on it
+    bool departed = false;    ///< has given notice that it terminates
     unsigned failures = 0;    ///< failed renewals in a row
     instant last_answer{};    ///< when any call was last answered
     uint64_t last_end = 0;
@@ -162,6 +164,8 @@
   void ReplaceIncarnation(const target_announcement& announcement, instant now);
   void BeginIncarnation(const target_announcement& announcement, instant now);
   void EndIncarnation(std::string_view reason);
+  /// Forgets a target that has given notice, once nothing can run on it any more.
+  void ForgetDeparted();
   void BeginIncarnationUnderSameId(const target_announcement& announcement, instant now);
   bool MayStart() const;
   /// @return whether a start beyond the target's capacity can do no harm
--- a/libraries/leases/run_events.h
+++ b/libraries/leases/run_events.h
@@ -34,6 +34,11 @@
   bool is_remembered = false;
 };
 
+/// Notice of a target that it terminates.
+struct target_departure {
+  std::string id{};
+};
+
 /// Order of an entry to start a task.
 struct run_order {
   session_id session = 0;
--- a/libraries/leases/target_successor.cc
+++ b/libraries/leases/target_successor.cc
@@ -6,7 +6,8 @@
 namespace wagtail::leased {
 
 void run_controller::OnSuccessorAnnounced(const target_announcement& announcement, instant now) {
-  bool in_use = incarnation_->reachable || !runs_.AtTarget().empty();
+  bool serves = incarnation_->reachable && !incarnation_->departed;
+  bool in_use = serves || !runs_.AtTarget().empty();
   if (!in_use) {
     ReplaceIncarnation(announcement, now);
     return;
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -296,7 +296,7 @@
       return;
     }
     LogFact(log_level::kInfo, "target_departed", {{"target", control.target}});
-    controller_->OnTargetDeparted(control.target, BootTimeNow());
+    controller_->OnTargetDeparted({.id = control.target}, BootTimeNow());
     ScheduleFlush();
   });
   return platform::AcknowledgeControlRequest();
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -538,6 +538,42 @@
   STRCMP_EQUAL("i-2", controller.Load().target.c_str());
 }
 
+// Guards against TWICE: a target runs on after its notice, until it has been acknowledged or
+// longer; its tasks began elsewhere meanwhile.
+TEST(RunController, ADepartingTargetLosesNoRunBeforeItHasEnded) {
+  StartFirst();
+  controller.OnTargetDeparted({.id = "i-1"}, now);
+  CHECK_EQUAL(0, results.size());
+  CHECK(!controller.Ready());
+  CHECK_EQUAL(1, stops.size());
+  AnswerRenewal({}, {{.number = 1, .task = starts[0].task, .run = 1, .kind = end_kind::kStopped}});
+  CHECK(results.at(0).outcome == run_outcome::kStopped);
+  STRCMP_EQUAL("departed", results[0].reason.c_str());
+}
+
+// Guards against TWICE: as above, where the target does not answer any more.
+TEST(RunController, ADepartedTargetThatIsSilentLosesItsRunsWithTheirLease) {
+  StartFirst();
+  instant lease_end = now + run_controller_options{}.lease;
+  controller.OnTargetDeparted({.id = "i-1"}, now);
+  while (now < lease_end) {
+    CHECK_EQUAL(0, results.size());
+    Advance(Ms(20));
+    controller.OnRenewFailed(renewals.back().serial, renew_failure::kNoListener, now);
+    CHECK(!renewals.back().lease_until_ms.has_value());
+  }
+  Advance(Ms(60));
+  CHECK(results.at(0).outcome == run_outcome::kLost);
+  controller.OnTargetAnnounced(MakeAnnouncement("i-2", 2), now);
+  STRCMP_EQUAL("i-2", controller.Load().target.c_str());
+}
+
+TEST(RunController, ADepartedTargetWithoutRunsIsForgottenAtOnce) {
+  Ready();
+  controller.OnTargetDeparted({.id = "i-1"}, now);
+  CHECK(controller.Announced() == nullptr);
+}
+
 // An announced successor that gives no answer is asked again; runs are lost with their lease only.
 TEST(RunController, ASilentSuccessorIsAskedAgain) {
   StartFirst();
