A Deregister of an earlier incarnation leaves the present one in use

Cause: the body of a Deregister was not read and the id alone compared, so that the notice of a former incarnation ended the present one.

Change: the notice carries `born` as everything that a target says of itself; one that states another start time than the incarnation in use changes nothing.

--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -9,6 +9,16 @@
 /// Decisions of a run controller on orders, sessions, leases and incarnations of its target.
 
 namespace wagtail::leased {
+namespace {
+
+/// @return whether the notice comes from the announced incarnation, not from an earlier one that
+///   had the same id
+bool IsOf(const target_departure& departure, const target_announcement& announced) {
+  return departure.id == announced.id &&
+         departure.start_time_ms.value_or(announced.start_time_ms) == announced.start_time_ms;
+}
+
+}  // namespace
 
 run_controller::run_controller(run_controller_options options, call_hook call, result_hook result,
                                log_hook log)
@@ -64,7 +74,7 @@
 }
 
 void run_controller::OnTargetDeparted(const target_departure& departure, instant now) {
-  if (!incarnation_.has_value() || incarnation_->announced.id != departure.id) {
+  if (!incarnation_.has_value() || !IsOf(departure, incarnation_->announced)) {
     return;
   }
   // The target ends some time after its notice, at the latest when its leases expire.
--- a/libraries/leases/run_events.h
+++ b/libraries/leases/run_events.h
@@ -37,6 +37,7 @@
 /// Notice of a target that it terminates.
 struct target_departure {
   std::string id{};
+  std::optional<int64_t> start_time_ms{};  ///< of its incarnation, milliseconds since 1970
 };
 
 /// Order of an entry to start a task.
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -246,7 +246,12 @@
              {"address", announcement.address}});
   }
   NoteTarget();
-  ScheduleFlush();
+}
+
+void agent_service::OnDeparture(const target_departure& departure) {
+  LogFact(log_level::kInfo, "target_departed",
+          {{"target", departure.id}, {"born", departure.start_time_ms.value_or(0)}});
+  controller_->OnTargetDeparted(departure, BootTimeNow());
 }
 
 void agent_service::NoteTarget() {
@@ -291,12 +296,11 @@
     return platform::RefuseControlRequest();
   }
   loop_.Post([this, control = *std::move(read)] {
-    if (control.announcement.has_value()) {
-      OnAnnouncement(*control.announcement);
-      return;
+    if (const auto* announcement = std::get_if<target_announcement>(&control)) {
+      OnAnnouncement(*announcement);
+    } else {
+      OnDeparture(std::get<target_departure>(control));
     }
-    LogFact(log_level::kInfo, "target_departed", {{"target", control.target}});
-    controller_->OnTargetDeparted({.id = control.target}, BootTimeNow());
     ScheduleFlush();
   });
   return platform::AcknowledgeControlRequest();
--- a/services/agentd/agent_service.h
+++ b/services/agentd/agent_service.h
@@ -39,6 +39,7 @@
   void FollowStore();
   void LoadTarget();
   void OnAnnouncement(const target_announcement& announcement);
+  void OnDeparture(const target_departure& departure);
   /// Logs and saves the target in use, if it has changed.
   void NoteTarget();
   void Tick();
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -568,6 +568,18 @@
   STRCMP_EQUAL("i-2", controller.Load().target.c_str());
 }
 
+// Guards against TWICE: a Deregister of an earlier incarnation under the same id arrived late and
+// ended the present one.
+TEST(RunController, ALateDepartureOfAnEarlierIncarnationChangesNothing) {
+  StartFirst();
+  controller.OnTargetDeparted({.id = "i-1", .start_time_ms = 0}, now);
+  CHECK_EQUAL(0, results.size());
+  CHECK_EQUAL(0, stops.size());
+  CHECK(controller.Ready());
+  controller.OnTargetDeparted({.id = "i-1", .start_time_ms = 1}, now);
+  CHECK(!controller.Ready());
+}
+
 TEST(RunController, ADepartedTargetWithoutRunsIsForgottenAtOnce) {
   Ready();
   controller.OnTargetDeparted({.id = "i-1"}, now);
--- a/tests/platform/target_json_test.cc
+++ b/tests/platform/target_json_test.cc
@@ -113,15 +113,28 @@
 
 TEST(TargetJson, DistinguishesAHeartbeatFromADeparture) {
   auto heartbeat = ReadControlRequest({.path = "/-/Instances.Heartbeat/i-7", .body = kHeartbeat});
-  CHECK(heartbeat.ok() && heartbeat->announcement.has_value());
-  STRCMP_EQUAL("i-7", heartbeat->target.c_str());
+  CHECK(heartbeat.ok() && std::holds_alternative<leased::target_announcement>(*heartbeat));
+  STRCMP_EQUAL("i-7", std::get<leased::target_announcement>(*heartbeat).id.c_str());
   auto departure = ReadControlRequest({.path = "/-/Instances.Deregister/i-7"});
-  CHECK(departure.ok() && !departure->announcement.has_value());
-  STRCMP_EQUAL("i-7", departure->target.c_str());
+  CHECK(departure.ok() && std::holds_alternative<leased::target_departure>(*departure));
+  STRCMP_EQUAL("i-7", std::get<leased::target_departure>(*departure).id.c_str());
+  CHECK(!std::get<leased::target_departure>(*departure).start_time_ms.has_value());
   CHECK(!ReadControlRequest({.path = "/elsewhere"}).ok());
   CHECK(!ReadControlRequest({.path = "/-/Instances.Heartbeat/i-7", .body = "{}"}).ok());
 }
 
+// Guards against TWICE: a late Deregister of an earlier incarnation ended the present one.
+TEST(TargetJson, ADepartureTellsItsIncarnation) {
+  auto read = ReadControlRequest({.path = "/-/Instances.Deregister/i-7", .body = kHeartbeat});
+  CHECK(read.ok());
+  auto announced = ReadAnnouncement("i-7", kHeartbeat);
+  CHECK(announced->start_time_ms > 0);
+  CHECK(std::get<leased::target_departure>(*read).start_time_ms == announced->start_time_ms);
+  CHECK(!ReadControlRequest({.path = "/-/Instances.Deregister/i-7", .body = "]"}).ok());
+  CHECK(
+      !ReadControlRequest({.path = "/-/Instances.Deregister/i-7", .body = R"({"born":"x"})"}).ok());
+}
+
 TEST(TargetJson, RejectsAnIncompleteAnnouncement) {
   CHECK(!ReadAnnouncement("i-7", "").ok());
   CHECK(!ReadAnnouncement("i-7", "[]").ok());
