A call in flight outlives the HTTP client that it was made with

With the agent its target is out of use, and what ran there is lost.

Cause: target_calls::ClientOf replaces the client, and kj's client, its connections and the header table that answers are parsed with went with it, under the calls.

Change: the connections are shared by the client and its calls, so the last answer releases them.

--- a/libraries/async_http/async_http_client.cc
+++ b/libraries/async_http/async_http_client.cc
@@ -46,28 +46,42 @@
 
 }  // namespace
 
+/// The pool of connections, and what its requests and answers refer to.
+struct async_http_client::connections {
+  std::string peer;
+  kj::HttpHeaderTable table;
+  kj::Own<kj::NetworkAddress> address;
+  kj::Own<kj::HttpClient> client;  ///< null if `peer` is no address
+
+  kj::Promise<http_response> Exchange(const async_http_call& call);
+};
+
 async_http_client::async_http_client(event_loop& loop, const std::string& peer)
-    : loop_(loop), peer_(peer) {
+    : loop_(loop), connections_(std::make_shared<connections>()) {
+  connections_->peer = peer;
   std::optional<sockaddr_in> address = ParsePeer(peer);
   if (!address.has_value()) {
     return;
   }
-  address_ = loop.provider().getNetwork().getSockaddr(&*address, sizeof(*address));
+  connections_->address = loop.provider().getNetwork().getSockaddr(&*address, sizeof(*address));
   kj::HttpClientSettings settings;
   settings.idleTimeout = kIdleTimeout;
-  client_ = kj::newHttpClient(loop.timer(), table_, *address_, settings);
+  connections_->client =
+      kj::newHttpClient(loop.timer(), connections_->table, *connections_->address, settings);
 }
 
 async_http_client::~async_http_client() = default;
 
-kj::Promise<http_response> async_http_client::Exchange(const async_http_call& call) {
-  kj::HttpHeaders headers(table_);
-  headers.set(kj::HttpHeaderId::HOST, peer_);
+const std::string& async_http_client::peer() const { return connections_->peer; }
+
+kj::Promise<http_response> async_http_client::connections::Exchange(const async_http_call& call) {
+  kj::HttpHeaders headers(table);
+  headers.set(kj::HttpHeaderId::HOST, peer);
   for (const auto& [name, value] : call.headers) {
     headers.add(kj::StringPtr(name.c_str()), kj::StringPtr(value.c_str()));
   }
   auto body = std::make_shared<const std::string>(call.body);
-  auto request = client_->request(call.method, call.target, headers, body->size());
+  auto request = client->request(call.method, call.target, headers, body->size());
   kj::Promise<void> written = kj::READY_NOW;
   if (!body->empty()) {
     written = request.body->write(body->data(), body->size());
@@ -89,17 +103,21 @@
 }
 
 void async_http_client::Call(const async_http_call& call, answer_hook answer) {
-  if (client_.get() == nullptr) {
-    answer(MakeError(http_error::kBadCall, "not an IPv4 address and port: " + peer_));
+  if (connections_->client.get() == nullptr) {
+    answer(MakeError(http_error::kBadCall, "not an IPv4 address and port: " + peer()));
     return;
   }
   auto hook = std::make_shared<answer_hook>(std::move(answer));
-  auto with_timeout =
-      loop_.timer().timeoutAfter(call.timeout.count() * kj::MICROSECONDS, Exchange(call));
-  loop_.Detach(with_timeout.then([hook](http_response&& response) { (*hook)(response); },
-                                 [hook](kj::Exception&& error) {
-                                   (*hook)(MakeError(KindOf(error), error.getDescription().cStr()));
-                                 }));
+  auto with_timeout = loop_.timer().timeoutAfter(call.timeout.count() * kj::MICROSECONDS,
+                                                 connections_->Exchange(call));
+  auto answered =
+      with_timeout.then([hook](http_response&& response) { (*hook)(response); },
+                        [hook](kj::Exception&& error) {
+                          (*hook)(MakeError(KindOf(error), error.getDescription().cStr()));
+                        });
+  // An answer in flight refers to the connections, which outlive a client that is replaced.
+  std::shared_ptr<connections> kept = connections_;
+  loop_.Detach(answered.attach(kj::mv(kept)));
 }
 
 }  // namespace wagtail
--- a/libraries/async_http/async_http_client.h
+++ b/libraries/async_http/async_http_client.h
@@ -3,6 +3,7 @@
 #include <kj/compat/http.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "absl/status/statusor.h"
@@ -23,6 +24,7 @@
 
 /// HTTP client of one peer on the event loop, over persistent connections. Used on the loop's
 /// thread only. A request that times out closes its connection, so that the next one uses another.
+/// Calls in flight are answered even if the client is destroyed meanwhile.
 class async_http_client {
  public:
   /// Receives the answer whatever its status code, or http_error::kConnectFailed: the peer
@@ -34,17 +36,14 @@
   async_http_client(event_loop& loop, const std::string& peer);
   ~async_http_client();
 
-  const std::string& peer() const { return peer_; }
+  const std::string& peer() const;
   void Call(const async_http_call& call, answer_hook answer);
 
  private:
-  kj::Promise<http_response> Exchange(const async_http_call& call);
+  struct connections;
 
   event_loop& loop_;
-  std::string peer_;
-  kj::HttpHeaderTable table_;
-  kj::Own<kj::NetworkAddress> address_;
-  kj::Own<kj::HttpClient> client_;
+  std::shared_ptr<connections> connections_;  ///< shared with the calls in flight
 };
 
 }  // namespace wagtail
--- a/tests/http/async_http_test.cc
+++ b/tests/http/async_http_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <future>
 #include <memory>
 #include <optional>
@@ -58,4 +59,32 @@
   CHECK(ErrorOfCall(peer, kTimeout) == http_error::kConnectFailed);
 }
 
+// Guards against FAULT: an agent died of signal 11 when its target's address changed while a call
+// to the former one was in flight.
+TEST(AsyncHttp, ACallOutlivesItsClient) {
+  constexpr int kCalls = 8;
+  auto server = http_server::Start({.address = "127.0.0.1", .port = 0}, [](const http_request&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    return http_response{.headers = {{"x-odd", "1"}}, .body = "late"};
+  });
+  CHECK(server.ok());
+  event_loop loop;
+  std::atomic<int> answered = 0;
+  loop.Run([&] {
+    async_http_client client(loop, "127.0.0.1:" + std::to_string((*server)->port()));
+    for (int call = 0; call < kCalls; ++call) {
+      client.Call({.target = "/", .timeout = kTimeout},
+                  [&answered](const absl::StatusOr<http_response>& response) {
+                    answered += response.ok() && response->body == "late" ? 1 : 0;
+                  });
+    }
+  });
+  auto end = std::chrono::steady_clock::now() + kTimeout;
+  while (answered < kCalls && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  CHECK_EQUAL(kCalls, answered);
+  loop.Stop();
+}
+
 }  // namespace wagtail
