An exception of one posted item no longer ends the event loop's work

Seen from outside: an agent acknowledged heartbeats and did nothing else, for good, after one heartbeat whose id holds a line feed (`i%0A%0D`); callers of its target were served by the others only.

Cause: the id goes into a header, which kj refuses by an exception; it passed through run_controller and ended the promise that reads posted work, without a log line. Any exception in posted work did the same, in an entry too.

Change: the loop runs the items behind a failed one, goes on reading, and logs `work_failed`; failures of detached promises, which were dropped, are logged as `task_failed`. A call whose headers can't be sent fails like one without an answer, so that the controller keeps a whole state.

--- a/libraries/async_http/async_http_client.cc
+++ b/libraries/async_http/async_http_client.cc
@@ -108,8 +108,10 @@
     return;
   }
   auto hook = std::make_shared<answer_hook>(std::move(answer));
-  auto with_timeout = loop_.timer().timeoutAfter(call.timeout.count() * kj::MICROSECONDS,
-                                                 connections_->Exchange(call));
+  // A header that can't be sent fails the call, not its caller.
+  auto exchange = kj::evalNow([this, &call] { return connections_->Exchange(call); });
+  auto with_timeout =
+      loop_.timer().timeoutAfter(call.timeout.count() * kj::MICROSECONDS, kj::mv(exchange));
   auto answered =
       with_timeout.then([hook](http_response&& response) { (*hook)(response); },
                         [hook](kj::Exception&& error) {
--- a/libraries/rpc/event_loop.cc
+++ b/libraries/rpc/event_loop.cc
@@ -4,16 +4,26 @@
 #include <unistd.h>
 
 #include <future>
+#include <string_view>
 #include <utility>
 
 #include "base/verify.h"
+#include "logging/logging.h"
 
 namespace wagtail {
 
-// Failures of detached promises are handled where they are detached.
+namespace {
+
+void LogFailure(std::string_view fact, const kj::Exception& error) {
+  LogFact(log_level::kError, fact, {{"error", std::string_view(error.getDescription().cStr())}});
+}
+
+}  // namespace
+
 class event_loop::task_errors : public kj::TaskSet::ErrorHandler {
  public:
-  void taskFailed(kj::Exception&& /*exception*/) override {}  // NOLINT: name of the base class
+  // NOLINTNEXTLINE: name of the base class
+  void taskFailed(kj::Exception&& exception) override { LogFailure("task_failed", exception); }
 };
 
 event_loop::event_loop() : wake_fd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
@@ -119,7 +129,11 @@
     items.swap(posted_);
   }
   for (work& item : items) {
-    item();
+    // A failed item must end neither the items behind it nor the reading of later ones.
+    kj::Maybe<kj::Exception> failure = kj::runCatchingExceptions([&item] { item(); });
+    KJ_IF_MAYBE (error, failure) {
+      LogFailure("work_failed", *error);
+    }
   }
 }
 
--- a/libraries/rpc/event_loop.h
+++ b/libraries/rpc/event_loop.h
@@ -27,7 +27,7 @@
   event_loop& operator=(const event_loop&) = delete;
 
   /// Runs `item` on the loop's thread soon; callable from any thread. Items posted close together
-  /// run in one turn of the loop.
+  /// run in one turn of the loop. An exception of one is logged; the others run.
   void Post(work item);
   /// Runs `item` on the loop's thread and waits for it; not to be called from that thread.
   void Run(const work& item);
@@ -43,7 +43,8 @@
   kj::Timer& timer() { return provider_->getTimer(); }
   /// Runs `item` after everything that is ready in this turn; on the loop's thread only.
   void AtEndOfTurn(work item);
-  /// Keeps a background promise alive until it ends; failures are passed to `on_error` if given.
+  /// Keeps a background promise alive until it ends; failures are passed to `on_error` if given,
+  /// and logged otherwise.
   void Detach(kj::Promise<void> promise, std::function<void(kj::Exception&&)> on_error = {});
 
  private:
--- a/tests/http/async_http_test.cc
+++ b/tests/http/async_http_test.cc
@@ -59,6 +59,23 @@
   CHECK(ErrorOfCall(peer, kTimeout) == http_error::kConnectFailed);
 }
 
+// Guards against an agent that hung: a header that can't be sent threw through its caller.
+TEST(AsyncHttp, AHeaderThatCantBeSentFailsItsCall) {
+  event_loop loop;
+  std::promise<bool> failed;
+  loop.Run([&] {
+    async_http_client client(loop, "127.0.0.1:9");
+    client.Call({.target = "/", .headers = {{"expect-instance", "i\n\r"}}},
+                [&failed](const absl::StatusOr<http_response>& response) {
+                  failed.set_value(!response.ok());
+                });
+  });
+  std::future<bool> answer = failed.get_future();
+  CHECK(answer.wait_for(kTimeout) == std::future_status::ready);
+  CHECK(answer.get());
+  loop.Stop();
+}
+
 // Guards against FAULT: an agent died of signal 11 when its target's address changed while a call
 // to the former one was in flight.
 TEST(AsyncHttp, ACallOutlivesItsClient) {
