An announcement under the target's own id is confirmed by the target as well

Callers saw: a target out of use for good. After one foreign heartbeat under the id of a target, with a later `born`, all of the target's own were outdated, and its answers were taken for those of another incarnation.

Change: an announcement of another incarnation under the same id is a successor too, confirmed by the `born` of the target's answer. A start time outdates others only once the target has answered as that incarnation. While a successor under the same id is asked, the longest lease that it may grant is allowed for.

WaitsForTheListOfANewIncarnationUnderTheSameId answered the first call after the announcement as the list. That call now confirms the announcement; the test asks that nothing is lost by it and that the list of the next one decides.

--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -35,20 +35,19 @@
     Adopt(announcement, now);
     return;
   }
-  const target_announcement& known = incarnation_->announced;
   if (IsOutdated(announcement)) {
     return;
   }
-  if (known.id != announcement.id) {
-    OnSuccessorAnnounced(announcement, now);
-    return;
-  }
-  if (known.start_time_ms == announcement.start_time_ms) {
+  if (IsInUse(announcement)) {
     incarnation_->announced = announcement;
+    Adopt(announcement, now);
   } else {
-    BeginIncarnationUnderSameId(announcement, now);
+    OnSuccessorAnnounced(announcement, now);
   }
-  Adopt(announcement, now);
+}
+
+bool run_controller::IsInUse(const target_announcement& announcement) const {
+  return incarnation_.has_value() && IsSameIncarnation(incarnation_->announced, announcement);
 }
 
 bool run_controller::IsOutdated(const target_announcement& announcement) const {
@@ -57,10 +56,12 @@
   if (known.is_remembered) {
     return false;
   }
-  bool same_incarnation =
-      known.id == announcement.id && known.start_time_ms == announcement.start_time_ms;
-  return announcement.start_time_ms < known.start_time_ms ||
-         (same_incarnation && announcement.sequence < known.sequence);
+  if (IsInUse(announcement)) {
+    return announcement.sequence < known.sequence;
+  }
+  // So may an announcement that no answer of the target has confirmed.
+  bool confirmed = incarnation_->last_answer != instant{};
+  return confirmed && announcement.start_time_ms < known.start_time_ms;
 }
 
 void run_controller::Adopt(const target_announcement& announcement, instant now) {
@@ -96,8 +97,12 @@
 }
 
 void run_controller::ReplaceIncarnation(const target_announcement& announcement, instant now) {
-  EndIncarnation("replaced");
-  BeginIncarnation(announcement, now);
+  if (announcement.id == incarnation_->announced.id) {
+    BeginIncarnationUnderSameId(announcement, now);
+  } else {
+    EndIncarnation("replaced");
+    BeginIncarnation(announcement, now);
+  }
   Adopt(announcement, now);
 }
 
--- a/libraries/leases/run_controller.h
+++ b/libraries/leases/run_controller.h
@@ -121,6 +121,8 @@
   target_status Load() const;
   /// @return the announcement of the target in use, or null if there is none
   const target_announcement* Announced() const;
+  /// @return whether the incarnation that this announcement describes is the one in use
+  bool IsInUse(const target_announcement& announcement) const;
   /// @return whether no order of a closed session can still be running
   bool Settled() const;
   /// @return whether this session has orders without a final result
--- a/libraries/leases/run_events.h
+++ b/libraries/leases/run_events.h
@@ -34,6 +34,9 @@
   bool is_remembered = false;
 };
 
+/// @return whether both describe one incarnation of one target
+bool IsSameIncarnation(const target_announcement& one, const target_announcement& other);
+
 /// Notice of a target that it terminates.
 struct target_departure {
   std::string id{};
--- a/libraries/leases/target_successor.cc
+++ b/libraries/leases/target_successor.cc
@@ -5,6 +5,10 @@
 
 namespace wagtail::leased {
 
+bool IsSameIncarnation(const target_announcement& one, const target_announcement& other) {
+  return one.id == other.id && one.start_time_ms == other.start_time_ms;
+}
+
 void run_controller::OnSuccessorAnnounced(const target_announcement& announcement, instant now) {
   bool serves = incarnation_->reachable && !incarnation_->departed;
   bool in_use = serves || !runs_.AtTarget().empty();
@@ -18,12 +22,14 @@
     log_({.fact = "successor_rejected", .detail = announcement.id});
     return;
   }
-  bool probing = successor_.has_value() && successor_->announced.id == announcement.id &&
-                 successor_->announced.start_time_ms == announcement.start_time_ms;
-  if (probing) {
+  if (successor_.has_value() && IsSameIncarnation(successor_->announced, announcement)) {
     successor_->announced = announcement;
     return;
   }
+  if (announcement.id == incarnation_->announced.id) {
+    // Starts may have reached the other incarnation, which takes them for its own.
+    AllowForOtherIncarnation(now);
+  }
   successor_ = successor{.announced = announcement};
   ProbeSuccessor(now);
 }
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -236,9 +236,7 @@
 
 void agent_service::OnAnnouncement(const target_announcement& announcement) {
   controller_->OnTargetAnnounced(announcement, BootTimeNow());
-  bool in_use = controller_->Announced()->id == announcement.id &&
-                controller_->Announced()->start_time_ms == announcement.start_time_ms;
-  if (!in_use) {
+  if (!controller_->IsInUse(announcement)) {
     LogFact(log_level::kInfo, "target_not_in_use",
             {{"target", announcement.id},
              {"born", announcement.start_time_ms},
@@ -259,8 +257,7 @@
   if (current == nullptr || current->is_remembered) {
     return;
   }
-  bool is_new = !noted_target_.has_value() || noted_target_->id != current->id ||
-                noted_target_->start_time_ms != current->start_time_ms ||
+  bool is_new = !noted_target_.has_value() || !IsSameIncarnation(*noted_target_, *current) ||
                 noted_target_->draining != current->draining ||
                 noted_target_->capacity != current->capacity;
   if (!is_new) {
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -618,9 +618,33 @@
   controller.OnTargetAnnounced(restarted, now);
   CHECK_EQUAL(0, results.size());
   controller.OnRenewAnswered(renewals.back().serial, {.clock_ms = 4, .start_time_ms = 2}, now);
+  CHECK_EQUAL(0, results.size());
+  controller.OnRenewAnswered(renewals.back().serial, {.clock_ms = 5, .start_time_ms = 2}, now);
   CHECK(results.at(0).outcome == run_outcome::kLost);
 }
 
+// Guards against a target that was out of use for good: a foreign announcement under its own id,
+// with a later start time, outdated all announcements of its own.
+TEST(RunController, AForeignAnnouncementUnderTheSameIdChangesNothing) {
+  StartFirst();
+  controller.OnTargetAnnounced(MakeAnnouncement("i-1", 2000), now);
+  controller.OnRenewAnswered(renewals.back().serial, {.clock_ms = ClockMs(), .start_time_ms = 1},
+                             now);
+  CHECK_EQUAL(0, results.size());
+  CHECK(controller.Ready());
+  CHECK_EQUAL(1, controller.Announced()->start_time_ms);
+}
+
+// As above, where the foreign announcement is the first.
+TEST(RunController, AnUnconfirmedAnnouncementOutdatesNoOther) {
+  controller.OnTargetAnnounced(MakeAnnouncement("i-1", 2000), now);
+  controller.OnRenewAnswered(renewals.back().serial, {.clock_ms = ClockMs(), .start_time_ms = 1},
+                             now);
+  CHECK(!controller.Ready());
+  Ready();
+  CHECK_EQUAL(1, controller.Announced()->start_time_ms);
+}
+
 TEST(RunController, AnOldAnnouncementChangesNothing) {
   controller.OnTargetAnnounced(MakeAnnouncement("i-2", 2), now);
   AnswerRenewal();
