A target's id that can't be sent back in a header is refused

Callers saw: as in, an agent that hung after a heartbeat with the id `i%0A%0D`; since then such a target would be taken into use and never answer.

Cause: the id was not checked where the platform's words are read, although every call to a target carries it in a header.

--- a/tests/platform/odd_values_test.cc
+++ b/tests/platform/odd_values_test.cc
@@ -101,6 +101,15 @@
   }
 }
 
+// Guards against an agent that hung: an id that can't be sent back in a header was accepted.
+TEST(OddValues, AnIdThatIsNoHeaderIsRefused) {
+  for (const char* odd : {"", "i\n\r", "i 1", "i\x7f", "\xc3\xa4"}) {
+    CHECK(!ReadAnnouncement(odd, kAnnouncement).ok());
+    CHECK(!ReadDeparture(odd, "").ok());
+  }
+  CHECK(ReadAnnouncement("i-7f3a91c2", kAnnouncement).ok());
+}
+
 TEST(OddValues, ADeadlineOutOfRangeIsBounded) {
   for (const char* odd : {"1e300", "inf", "nan", "-1", "1e18"}) {
     http_request request;
