--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -6,19 +6,9 @@
 #include "base/verify.h"
 
 /// @file
-/// Decisions of a run controller on orders, sessions, leases and incarnations of its target.
+/// Decisions of a run controller on orders, sessions and leases.
 
 namespace wagtail::leased {
-namespace {
-
-/// @return whether the notice comes from the announced incarnation, not from an earlier one that
-///   had the same id
-bool IsOf(const target_departure& departure, const target_announcement& announced) {
-  return departure.id == announced.id &&
-         departure.start_time_ms.value_or(announced.start_time_ms) == announced.start_time_ms;
-}
-
-}  // namespace
 
 run_controller::run_controller(run_controller_options options, call_hook call, result_hook result,
                                log_hook log)
@@ -29,122 +19,6 @@
       start_timeout_(options.start_timeout),
       fence_(options.fence) {}
 
-void run_controller::OnTargetAnnounced(const target_announcement& announcement, instant now) {
-  if (!incarnation_.has_value()) {
-    BeginIncarnation(announcement, now);
-    Adopt(announcement, now);
-    return;
-  }
-  if (IsOutdated(announcement)) {
-    return;
-  }
-  if (IsInUse(announcement)) {
-    incarnation_->announced = announcement;
-    Adopt(announcement, now);
-  } else {
-    OnSuccessorAnnounced(announcement, now);
-  }
-}
-
-bool run_controller::IsInUse(const target_announcement& announcement) const {
-  return incarnation_.has_value() && IsSameIncarnation(incarnation_->announced, announcement);
-}
-
-bool run_controller::IsOutdated(const target_announcement& announcement) const {
-  const target_announcement& known = incarnation_->announced;
-  // What was read back may be of another writer: the target's own word goes first.
-  if (known.is_remembered) {
-    return false;
-  }
-  if (IsInUse(announcement)) {
-    return announcement.sequence < known.sequence;
-  }
-  // So may an announcement that no answer of the target has confirmed.
-  bool confirmed = incarnation_->last_answer != instant{};
-  return confirmed && announcement.start_time_ms < known.start_time_ms;
-}
-
-void run_controller::Adopt(const target_announcement& announcement, instant now) {
-  domain_ = announcement.domain;
-  if (announcement.clock_ms.has_value()) {
-    // A delayed announcement makes the estimate lag behind the target's clock, so that lease ends
-    // are estimated too late, never too early.
-    clock_.Observe(*announcement.clock_ms, now);
-  }
-  RefuseUnstartable(now);
-}
-
-void run_controller::OnTargetDeparted(const target_departure& departure, instant now) {
-  if (!incarnation_.has_value() || !IsOf(departure, incarnation_->announced)) {
-    return;
-  }
-  // The target ends some time after its notice, at the latest when its leases expire.
-  incarnation_->departed = true;
-  for (uint64_t serial : runs_.AtTarget()) {
-    tracked_run& run = runs_.find(serial)->second;
-    if (!run.stop_requested) {
-      Stop(serial, run, "departed", now);
-    }
-  }
-  ForgetDeparted();
-  RefuseUnstartable(now);
-}
-
-void run_controller::ForgetDeparted() {
-  if (incarnation_.has_value() && incarnation_->departed && runs_.AtTarget().empty()) {
-    EndIncarnation("departed");
-  }
-}
-
-void run_controller::ReplaceIncarnation(const target_announcement& announcement, instant now) {
-  if (announcement.id == incarnation_->announced.id) {
-    BeginIncarnationUnderSameId(announcement, now);
-  } else {
-    EndIncarnation("replaced");
-    BeginIncarnation(announcement, now);
-  }
-  Adopt(announcement, now);
-}
-
-void run_controller::BeginIncarnation(const target_announcement& announcement, instant now) {
-  incarnation_.emplace(announcement);
-  successor_.reset();
-  clock_.Reset();
-  speed_.Reset();
-  start_timeout_.Reset();
-  latest_lease_end_.reset();
-  refuses_since_.reset();
-  ++fence_;
-  renewals_.clear();
-  Renew(duration::zero(), now);
-}
-
-void run_controller::BeginIncarnationUnderSameId(const target_announcement& announcement,
-                                                 instant now) {
-  // Starts may have reached the new incarnation before its announcement. Its list shows which of
-  // them run; the raised fence voids the others.
-  for (auto& [serial, run] : runs_) {
-    if (run.state != run_state::kQueued) {
-      run.state = run_state::kInDoubt;
-      run.fence = fence_;
-      run.may_have_run = true;
-      run.crash = RoleOf(run);
-    }
-  }
-  BeginIncarnation(announcement, now);
-  AllowForOtherIncarnation(now);
-}
-
-void run_controller::EndIncarnation(std::string_view reason) {
-  incarnation_.reset();
-  successor_.reset();
-  renewals_.clear();
-  latest_lease_end_.reset();
-  for (uint64_t serial : runs_.AtTarget()) {
-    Finish(serial, run_outcome::kLost, std::string(reason), instant{});
-  }
-}
-
 void run_controller::SetPlan(const operating_plan& plan, instant now) {
   leaving_domains_ = plan.leaving_domains;
   guarded_services_.clear();
