An answer to a settled start tells nothing about the target in use

Cause: OnStartAnswered read the clock of an answer, and counted it as a sign of life, before it looked whether the start was still open. The answer of a former target that was read after its successor was in use (an agent wakes from a suspension with both in its sockets) set the clock of the successor: all answers of that looked like those of another incarnation, so it stayed out of use until its next start, and leases were stated far ahead, so that their ends were expected up to 0.4 s early (TWICE, if the target then went silent).

Change: an answer to a start that a renewal or the end of an incarnation has settled changes nothing, but for one that shows a newer incarnation, as before.

Evidence: both new tests of leases_test fail on ('CHECK(controller.Ready()) failed') and hold now; 68 of 68 hold. Not seen with real processes.

--- a/libraries/leases/target_answers.cc
+++ b/libraries/leases/target_answers.cc
@@ -23,16 +23,24 @@
   // The process may have been frozen: expired leases are handled before answers that arrived in the
   // meantime.
   Expire(now);
-  if (answer == start_answer::kNoListener) {
-    OnNoListener(now);
-  }
+  auto found = runs_.find(serial);
+  bool settled = found == runs_.end() || found->second.state != run_state::kStarting;
   bool other_incarnation = clock_ms.has_value() && clock_.IsOfAnotherIncarnation(*clock_ms);
   if (other_incarnation && incarnation_.has_value()) {
     // The announcement of the new incarnation follows; until then the start is in doubt.
     incarnation_->reachable = false;
     AllowForOtherIncarnation(now);
     answer = start_answer::kUnknown;
-  } else if (clock_ms.has_value() && answer != start_answer::kOtherIncarnation) {
+  }
+  if (settled) {
+    // By a renewal or by the end of an incarnation: the answer may be of an earlier incarnation and
+    // tells nothing about the present one.
+    return;
+  }
+  if (answer == start_answer::kNoListener) {
+    OnNoListener(now);
+  }
+  if (clock_ms.has_value() && !other_incarnation && answer != start_answer::kOtherIncarnation) {
     clock_.Observe(*clock_ms, now);
   }
   bool answered = answer != start_answer::kUnknown && answer != start_answer::kNoListener;
@@ -40,10 +48,6 @@
     refuses_since_.reset();
     incarnation_->last_answer = now;
   }
-  auto found = runs_.find(serial);
-  if (found == runs_.end() || found->second.state != run_state::kStarting) {
-    return;  // already settled by a renewal or by the end of the target's incarnation
-  }
   tracked_run& run = found->second;
   if (answer == start_answer::kUnknown) {
     start_timeout_.OnTimeout();
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -645,6 +645,36 @@
   CHECK_EQUAL(1, controller.Announced()->start_time_ms);
 }
 
+// Guards against a target that was out of use for good, and whose leases were taken to end before
+// they did: the answer to a start of the former target set the clock of the present one.
+TEST(RunController, ALateStartAnswerOfAFormerTargetTellsNothingAboutThePresentOne) {
+  Ready();
+  controller.Order(MakeOrder(1), now);
+  target_announcement next = MakeAnnouncement("i-2", 2);
+  next.clock_ms = 3;
+  controller.OnTargetAnnounced(next, now);
+  controller.OnRenewAnswered(renewals.back().serial, {.clock_ms = 4, .start_time_ms = 2}, now);
+  STRCMP_EQUAL("i-2", controller.Announced()->id.c_str());
+  controller.OnStartAnswered(starts.at(0).serial, start_answer::kStarted, ClockMs(), now);
+  controller.OnRenewAnswered(renewals.back().serial, {.clock_ms = 5, .start_time_ms = 2}, now);
+  CHECK(controller.Ready());
+  CHECK_EQUAL(5 + ToMilliseconds(run_controller_options{}.lease),
+              renewals.back().lease_until_ms.value_or(0));
+}
+
+// As above, under the id of the former target.
+TEST(RunController, ALateStartAnswerOfAnEarlierIncarnationTellsNothingAboutThePresentOne) {
+  Ready();
+  controller.Order(MakeOrder(1), now);
+  target_announcement restarted = MakeAnnouncement("i-1", 2);
+  restarted.clock_ms = 3;
+  controller.OnTargetAnnounced(restarted, now);
+  controller.OnRenewAnswered(renewals.back().serial, {.clock_ms = 4, .start_time_ms = 2}, now);
+  controller.OnStartAnswered(starts.at(0).serial, start_answer::kStarted, ClockMs(), now);
+  controller.OnRenewAnswered(renewals.back().serial, {.clock_ms = 5, .start_time_ms = 2}, now);
+  CHECK(controller.Ready());
+}
+
 TEST(RunController, AnOldAnnouncementChangesNothing) {
   controller.OnTargetAnnounced(MakeAnnouncement("i-2", 2), now);
   AnswerRenewal();
