A notice without an incarnation ends only a target that drains

What callers saw: a late Deregister of an earlier incarnation, without a body, stopped all runs of the present one under the same id, and took the target out of use until its next heartbeat.

Change: such a notice counts only where the incarnation in use has announced that it drains, which it does before its notice; the others are logged as departure_rejected. Three tests gave a notice without 'born' for a target that doesn't drain; they now give its 'born', and check what they checked.

--- a/libraries/leases/run_events.h
+++ b/libraries/leases/run_events.h
@@ -40,7 +40,8 @@
 /// Notice of a target that it terminates.
 struct target_departure {
   std::string id{};
-  std::optional<int64_t> start_time_ms{};  ///< of its incarnation, milliseconds since 1970
+  /// Of its incarnation, milliseconds since 1970; absent if the notice doesn't tell it.
+  std::optional<int64_t> start_time_ms{};
 };
 
 /// Order of an entry to start a task.
--- a/libraries/leases/target_incarnation.cc
+++ b/libraries/leases/target_incarnation.cc
@@ -11,8 +11,12 @@
 /// @return whether the notice comes from the announced incarnation, not from an earlier one that
 ///   had the same id
 bool IsOf(const target_departure& departure, const target_announcement& announced) {
-  return departure.id == announced.id &&
-         departure.start_time_ms.value_or(announced.start_time_ms) == announced.start_time_ms;
+  if (departure.id != announced.id) {
+    return false;
+  }
+  // A target announces that it drains before it gives notice.
+  return departure.start_time_ms.has_value() ? *departure.start_time_ms == announced.start_time_ms
+                                             : announced.draining;
 }
 
 }  // namespace
@@ -68,6 +72,7 @@
 
 void run_controller::OnTargetDeparted(const target_departure& departure, instant now) {
   if (!incarnation_.has_value() || !IsOf(departure, incarnation_->announced)) {
+    log_({.fact = "departure_rejected", .detail = departure.id});
     return;
   }
   // The target ends some time after its notice, at the latest when its leases expire.
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -67,6 +67,12 @@
     controller.OnSessionOpened(kSession, now);
     CHECK(controller.Ready());
   }
+  /// The target announces that it is about to end.
+  void AnnounceDraining() {
+    target_announcement leaving = MakeAnnouncement();
+    leaving.draining = true;
+    controller.OnTargetAnnounced(leaving, now);
+  }
   /// Starts a first run on a target that serves.
   void StartFirst() {
     Ready();
@@ -542,7 +548,7 @@
 // longer; its tasks began elsewhere meanwhile.
 TEST(RunController, ADepartingTargetLosesNoRunBeforeItHasEnded) {
   StartFirst();
-  controller.OnTargetDeparted({.id = "i-1"}, now);
+  controller.OnTargetDeparted({.id = "i-1", .start_time_ms = 1}, now);
   CHECK_EQUAL(0, results.size());
   CHECK(!controller.Ready());
   CHECK_EQUAL(1, stops.size());
@@ -555,7 +561,7 @@
 TEST(RunController, ADepartedTargetThatIsSilentLosesItsRunsWithTheirLease) {
   StartFirst();
   instant lease_end = now + run_controller_options{}.lease;
-  controller.OnTargetDeparted({.id = "i-1"}, now);
+  controller.OnTargetDeparted({.id = "i-1", .start_time_ms = 1}, now);
   while (now < lease_end) {
     CHECK_EQUAL(0, results.size());
     Advance(Ms(20));
@@ -580,9 +586,22 @@
   CHECK(!controller.Ready());
 }
 
+// Guards against lost work: a late Deregister that doesn't tell its incarnation stopped all runs of
+// the present one, which has announced no end.
+TEST(RunController, ADepartureThatTellsNoIncarnationEndsNoTargetThatServes) {
+  StartFirst();
+  controller.OnTargetDeparted({.id = "i-1"}, now);
+  CHECK_EQUAL(0, stops.size());
+  CHECK(controller.Ready());
+  AnnounceDraining();
+  controller.OnTargetDeparted({.id = "i-1"}, now);
+  CHECK_EQUAL(1, stops.size());
+  CHECK(!controller.Ready());
+}
+
 TEST(RunController, ADepartedTargetWithoutRunsIsForgottenAtOnce) {
   Ready();
-  controller.OnTargetDeparted({.id = "i-1"}, now);
+  controller.OnTargetDeparted({.id = "i-1", .start_time_ms = 1}, now);
   CHECK(controller.Announced() == nullptr);
 }
 
