An earlier start time outdates a target only while another one answers

Cause: once a target had answered, every announcement with an earlier 'born' was taken for a late one, also when the target that it was compared with had ended.

Change: it is outdated while the target in use answers. After that the announced target is asked under its id, as any successor, and replaces the former one once it has answered; a late announcement is answered 421 or with another 'born', and changes nothing.

--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -53,8 +53,7 @@
 }
 
 bool run_controller::Ready() const {
-  return incarnation_.has_value() && incarnation_->taken_over && incarnation_->reachable &&
-         !incarnation_->departed && !leaving_;
+  return incarnation_.has_value() && incarnation_->taken_over && Serves() && !leaving_;
 }
 
 bool run_controller::MayStart() const {
--- a/libraries/leases/run_controller.h
+++ b/libraries/leases/run_controller.h
@@ -156,6 +156,10 @@
   };
 
   bool IsOutdated(const target_announcement& announcement) const;
+  /// @return whether the target in use has answered, and is said to have started after this one
+  bool BeganEarlier(const target_announcement& announcement) const;
+  /// @return whether the target in use answers and has not given notice
+  bool Serves() const;
   void Adopt(const target_announcement& announcement, instant now);
   void OnSuccessorAnnounced(const target_announcement& announcement, instant now);
   void ProbeSuccessor(instant now);
--- a/libraries/leases/target_incarnation.cc
+++ b/libraries/leases/target_incarnation.cc
@@ -55,11 +55,17 @@
   if (IsInUse(announcement)) {
     return announcement.sequence < known.sequence;
   }
-  // So may an announcement that no answer of the target has confirmed.
+  return Serves() && BeganEarlier(announcement);
+}
+
+bool run_controller::BeganEarlier(const target_announcement& announcement) const {
+  // What no answer of the target has confirmed may be of another writer as well.
   bool confirmed = incarnation_->last_answer != instant{};
-  return confirmed && announcement.start_time_ms < known.start_time_ms;
+  return confirmed && announcement.start_time_ms < incarnation_->announced.start_time_ms;
 }
 
+bool run_controller::Serves() const { return incarnation_->reachable && !incarnation_->departed; }
+
 void run_controller::Adopt(const target_announcement& announcement, instant now) {
   domain_ = announcement.domain;
   if (announcement.clock_ms.has_value()) {
@@ -143,9 +149,10 @@
 }
 
 void run_controller::OnSuccessorAnnounced(const target_announcement& announcement, instant now) {
-  bool serves = incarnation_->reachable && !incarnation_->departed;
-  bool in_use = serves || !runs_.AtTarget().empty();
-  if (!in_use) {
+  bool in_use = Serves() || !runs_.AtTarget().empty();
+  // An earlier start time is that of a late announcement, or of a target that started again after
+  // the time of day had been set back: its answer tells which.
+  if (!in_use && !BeganEarlier(announcement)) {
     ReplaceIncarnation(announcement, now);
     return;
   }
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -626,6 +626,36 @@
   STRCMP_EQUAL("i-2", controller.Load().target.c_str());
 }
 
+// Guards against a target that was out of use for good: the time of day had been set back before it
+// started again, and its former start time outdated all announcements of its own.
+TEST(RunController, ATargetThatStartedAgainAtAnEarlierTimeIsUsedOnceItHasAnswered) {
+  controller.OnTargetAnnounced(MakeAnnouncement("i-1", 5000), now);
+  AnswerRenewal();
+  TargetCrashes();
+  target_announcement restarted = MakeAnnouncement("i-2", 3000);
+  controller.OnTargetAnnounced(restarted, now);
+  STRCMP_EQUAL("i-1", controller.Announced()->id.c_str());
+  STRCMP_EQUAL("i-2", renewals.back().instance.c_str());
+  AnswerRenewal();
+  STRCMP_EQUAL("i-2", controller.Announced()->id.c_str());
+  AnswerRenewal();
+  CHECK(controller.Ready());
+}
+
+// A late announcement of an earlier incarnation, while the target in use does not answer for a
+// time.
+TEST(RunController, ALateAnnouncementReplacesNoTargetThatIsUnreachable) {
+  controller.OnTargetAnnounced(MakeAnnouncement("i-2", 2), now);
+  AnswerRenewal();
+  TargetCrashes();
+  controller.OnTargetAnnounced(MakeAnnouncement("i-1", 1), now);
+  controller.OnRenewFailed(renewals.back().serial, renew_failure::kOtherIncarnation, now);
+  STRCMP_EQUAL("i-2", controller.Announced()->id.c_str());
+  Advance(Ms(60));
+  AnswerRenewal();
+  CHECK(controller.Ready());
+}
+
 // Starts sent just before the restart may have reached the new incarnation, whose lease may be as
 // long as the maximum.
 TEST(RunController, WaitsForTheListOfANewIncarnationUnderTheSameId) {
