A late heartbeat after a start of the agent changes nothing

What callers would see: after a start of the agent, a heartbeat of the target that was held up made a draining target one that serves, or gave back a capacity that has shrunk, until the next one.

--- a/libraries/leases/target_incarnation.cc
+++ b/libraries/leases/target_incarnation.cc
@@ -48,13 +48,13 @@
 
 bool run_controller::IsOutdated(const target_announcement& announcement) const {
   const target_announcement& known = incarnation_->announced;
+  if (IsInUse(announcement)) {
+    return announcement.sequence < known.sequence;
+  }
   // What was read back may be of another writer: the target's own word goes first.
   if (known.is_remembered) {
     return false;
   }
-  if (IsInUse(announcement)) {
-    return announcement.sequence < known.sequence;
-  }
   return Serves() && BeganEarlier(announcement);
 }
 
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -232,6 +232,24 @@
   STRCMP_EQUAL("i-1", starts.at(0).instance.c_str());
 }
 
+// Guards against starts on a target that drains, or beyond a capacity that has shrunk: after a
+// start of the agent a late heartbeat of the same incarnation counted more than what the store
+// remembered.
+TEST(RunController, ALateAnnouncementChangesNothingThatIsRememberedOfItsIncarnation) {
+  target_announcement late = MakeAnnouncement();
+  target_announcement remembered = MakeAnnouncement();
+  remembered.draining = true;
+  remembered.is_remembered = true;
+  controller.OnTargetAnnounced(remembered, now);
+  AnswerRenewal();
+  controller.OnTargetAnnounced(late, now);
+  CHECK(controller.Announced()->is_remembered);
+  CHECK(controller.Announced()->draining);
+  controller.OnTargetAnnounced(MakeAnnouncement(), now);
+  CHECK(!controller.Announced()->is_remembered);
+  CHECK(!controller.Announced()->draining);
+}
+
 TEST(RunController, ARememberedTargetThatGuardsItsCapacityServesAtOnce) {
   controller.SetPlan({.services = {{.name = "lights", .targets_guard_capacity = true}}}, now);
   target_announcement remembered = MakeAnnouncement();
--- a/tests/platform/target_json_test.cc
+++ b/tests/platform/target_json_test.cc
@@ -108,6 +108,8 @@
   CHECK(recalled->draining);
   CHECK(recalled->capacity == announced.capacity);
   CHECK(recalled->start_time_ms == announced.start_time_ms);
+  CHECK(announced.sequence > 0);
+  CHECK(recalled->sequence == announced.sequence);
   CHECK(!recalled->clock_ms.has_value());
 }
 
