A late heartbeat makes no departed target serve again

What callers would see: a heartbeat that was held up and arrives after the Deregister of its target made that target serve again until it ended; tasks started there end with it.

Cause: the agent forgot the sequence of the departed target's announcements with the target.

Change: the last announcement of the departed target is kept; those of the same incarnation count only if they are newer, so that a target that goes on after its notice is used again.

--- a/libraries/leases/run_controller.h
+++ b/libraries/leases/run_controller.h
@@ -214,6 +214,7 @@
 
   std::optional<incarnation> incarnation_;
   std::optional<successor> successor_;
+  std::optional<target_announcement> departed_;  ///< last of the latest target that gave notice
   std::string domain_;
   target_clock clock_;
   run_speed speed_;
--- a/libraries/leases/target_incarnation.cc
+++ b/libraries/leases/target_incarnation.cc
@@ -26,14 +26,14 @@
 }
 
 void run_controller::OnTargetAnnounced(const target_announcement& announcement, instant now) {
+  if (IsOutdated(announcement)) {
+    return;
+  }
   if (!incarnation_.has_value()) {
     BeginIncarnation(announcement, now);
     Adopt(announcement, now);
     return;
   }
-  if (IsOutdated(announcement)) {
-    return;
-  }
   if (IsInUse(announcement)) {
     incarnation_->announced = announcement;
     Adopt(announcement, now);
@@ -47,6 +47,11 @@
 }
 
 bool run_controller::IsOutdated(const target_announcement& announcement) const {
+  if (!incarnation_.has_value()) {
+    // A late announcement of a target that has given notice since.
+    return departed_.has_value() && IsSameIncarnation(*departed_, announcement) &&
+           announcement.sequence <= departed_->sequence;
+  }
   const target_announcement& known = incarnation_->announced;
   if (IsInUse(announcement)) {
     return announcement.sequence < known.sequence;
@@ -95,6 +100,7 @@
 
 void run_controller::ForgetDeparted() {
   if (incarnation_.has_value() && incarnation_->departed && runs_.AtTarget().empty()) {
+    departed_ = incarnation_->announced;
     EndIncarnation("departed");
   }
 }
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -623,6 +623,28 @@
   CHECK(controller.Announced() == nullptr);
 }
 
+// Guards against starts on a target that has given notice: a late heartbeat made it serve again.
+TEST(RunController, ALateAnnouncementOfADepartedTargetDoesNotMakeItServe) {
+  Ready();
+  target_announcement late = MakeAnnouncement();
+  AnnounceDraining();
+  controller.OnTargetDeparted({.id = "i-1", .start_time_ms = 1}, now);
+  CHECK(controller.Announced() == nullptr);
+  controller.OnTargetAnnounced(late, now);
+  CHECK(controller.Announced() == nullptr);
+  controller.OnTargetAnnounced(MakeAnnouncement("i-1", 2), now);
+  CHECK(controller.Announced() != nullptr);
+}
+
+// A target that goes on after its notice, as its later announcements show, is used again.
+TEST(RunController, ATargetThatGoesOnAfterItsNoticeServesAgain) {
+  Ready();
+  controller.OnTargetDeparted({.id = "i-1", .start_time_ms = 1}, now);
+  controller.OnTargetAnnounced(MakeAnnouncement(), now);
+  AnswerRenewal();
+  CHECK(controller.Ready());
+}
+
 // An announced successor that gives no answer is asked again; runs are lost with their lease only.
 TEST(RunController, ASilentSuccessorIsAskedAgain) {
   StartFirst();
