Fault soak: planned leaves, late notices and late heartbeats

A planned leave now drains the target, sends a Deregister with or without a body while runs are on it, ends 20 to 1,500 ms later and comes back; what the former incarnation said (a heartbeat from before the drain, the notice) arrives up to 0.9 s after that. After half of the crashes a heartbeat from before arrives late. A target that is up isn't restarted any more: two overlapping crashes set back the clock of one that was running, which the platform's targets don't do.

--- a/tests/fault_soak/soak_cluster.cc
+++ b/tests/fault_soak/soak_cluster.cc
@@ -212,7 +212,7 @@
   bool entry = random_() % 2 == 0;
   cluster_vm& vm = RandomVm(entry);
   cluster_vm& agent = RandomVm(false);
-  constexpr unsigned kKinds = 24;
+  constexpr unsigned kKinds = 28;
   switch (random_() % kKinds) {
     case 0:
     case 1:
@@ -259,6 +259,12 @@
     case 22:
       ChangePlan();
       break;
+    case 23:
+    case 24:
+    case 25:
+    case 26:
+      LeaveAsPlanned(agent);
+      break;
     default:
       PowerLoss();
       break;
@@ -339,10 +345,49 @@
   }
 }
 
+void soak_cluster::RestartTarget(cluster_vm& agent, std::vector<soak_target::message> late) {
+  agent.target->Restart();
+  Schedule(RandomDuration(0, 900), [&agent, late = std::move(late)] {
+    std::ranges::for_each(late, [&agent](const auto& each) { agent.target->Send(each); });
+  });
+}
+
 void soak_cluster::CrashTarget(cluster_vm& agent) {
   LogFault("CrashTarget", agent.name);
+  std::vector<soak_target::message> late;
+  if (agent.target->Incarnation().has_value() && random_() % 2 == 0) {
+    late.push_back(agent.target->Heartbeat());
+  }
+  agent.target->Crash();
+  Schedule(RandomDuration(200, 3000),
+           [this, &agent, late = std::move(late)] { RestartTarget(agent, late); });
+}
+
+void soak_cluster::LeaveAsPlanned(cluster_vm& agent) {
+  LogFault("LeaveAsPlanned", agent.name);
+  std::optional<uint64_t> incarnation = agent.target->Incarnation();
+  if (!incarnation.has_value()) {
+    return;
+  }
+  std::vector<soak_target::message> late = {agent.target->Heartbeat()};
+  agent.target->Drain();
+  bool tells_incarnation = random_() % 2 == 0;
+  late.push_back(agent.target->Deregistration(tells_incarnation));
+  Schedule(RandomDuration(100, 600), [this, &agent, incarnation, late = std::move(late)] {
+    agent.target->Send(late.back());
+    Schedule(RandomDuration(20, 1500),
+             [this, &agent, incarnation, late] { EndTarget(agent, *incarnation, late); });
+  });
+}
+
+void soak_cluster::EndTarget(cluster_vm& agent, uint64_t incarnation,
+                             std::vector<soak_target::message> late) {
+  if (agent.target->Incarnation() != incarnation) {
+    return;  // it has crashed meanwhile
+  }
   agent.target->Crash();
-  Schedule(RandomDuration(200, 3000), [&agent] { agent.target->Restart(); });
+  Schedule(RandomDuration(0, 1500),
+           [this, &agent, late = std::move(late)] { RestartTarget(agent, late); });
 }
 
 void soak_cluster::DisturbLink(tcp_relay& link) {
--- a/tests/fault_soak/soak_cluster.h
+++ b/tests/fault_soak/soak_cluster.h
@@ -83,7 +83,15 @@
   /// Stops and starts one VM after the other under load.
   void ReplaceEveryVm();
   void ChangeSettings(cluster_vm& vm);
+  /// A heartbeat from before the crash may arrive after the restart.
   void CrashTarget(cluster_vm& agent);
+  /// A target drains, gives notice, ends and comes back; what it said of itself arrives once more
+  /// after that.
+  void LeaveAsPlanned(cluster_vm& agent);
+  /// Ends the incarnation that has given notice.
+  void EndTarget(cluster_vm& agent, uint64_t incarnation, std::vector<soak_target::message> late);
+  /// Starts a target and lets messages of its former incarnation arrive some time after.
+  void RestartTarget(cluster_vm& agent, std::vector<soak_target::message> late);
   void DisturbLink(tcp_relay& link);
   void DisturbStore();
   void DisturbTarget(cluster_vm& agent);
--- a/tests/fault_soak/soak_target.cc
+++ b/tests/fault_soak/soak_target.cc
@@ -91,12 +91,13 @@
       std::make_unique<tcp_relay>(loopback_address{.ip = options_.ip},
                                   loopback_address{.ip = options_.ip, .port = server_->port()});
   clock_ = std::jthread([this] { AdvanceTime(); });
-  heartbeats_ = std::jthread([this] { SendHeartbeats(); });
+  messages_ = std::jthread([this] { SendMessages(); });
 }
 
 soak_target::~soak_target() {
   stopping_ = true;
-  heartbeats_.join();
+  outbox_changed_.notify_all();
+  messages_.join();
   server_->Stop();
   clock_.join();
 }
@@ -127,11 +128,27 @@
 void soak_target::Restart() {
   {
     std::lock_guard lock(mutex_);
-    target_->Restart();
+    if (!target_->up()) {
+      draining_ = false;
+      target_->Restart();
+    }
   }
   relay_->SetMode(relay_mode::kPass);
 }
 
+std::optional<uint64_t> soak_target::Incarnation() {
+  std::lock_guard lock(mutex_);
+  return target_->up() ? std::optional(target_->incarnation()) : std::nullopt;
+}
+
+void soak_target::Drain() {
+  {
+    std::lock_guard lock(mutex_);
+    draining_ = true;
+  }
+  Send(Heartbeat());
+}
+
 void soak_target::SetFailing(double share) {
   std::lock_guard lock(mutex_);
   target_->failing = share;
@@ -243,36 +260,70 @@
                     {"ended", ended}});
 }
 
-void soak_target::SendHeartbeats() {
+std::string soak_target::AnnouncementBody() {
+  target_announcement announcement = target_->Announcement();
+  return json{{"service", announcement.service},
+              {"addr", options_.ip + ":" + std::to_string(relay_->port())},
+              {"zone", options_.domain},
+              {"state", draining_ ? "draining" : "ready"},
+              {"capacity",
+               {{"cpu", announcement.capacity.cpu},
+                {"mem_mb", announcement.capacity.mem_mb},
+                {"gpu", announcement.capacity.gpu}}},
+              {"born", announcement.start_time_ms},
+              {"clock_ms", *announcement.clock_ms},
+              {"seq", announcement.sequence}}
+      .dump();
+}
+
+soak_target::message soak_target::Heartbeat() {
+  std::lock_guard lock(mutex_);
+  return {.path = "/-/Instances.Heartbeat/" + target_->Id(), .body = AnnouncementBody()};
+}
+
+soak_target::message soak_target::Deregistration(bool tells_incarnation) {
+  std::lock_guard lock(mutex_);
+  return {.path = "/-/Instances.Deregister/" + target_->Id(),
+          .body = tells_incarnation ? AnnouncementBody() : ""};
+}
+
+void soak_target::Send(message sent) {
+  std::lock_guard lock(mutex_);
+  outbox_.push_back(std::move(sent));
+  outbox_changed_.notify_all();
+}
+
+std::optional<soak_target::message> soak_target::NextMessage(instant heartbeat) {
+  std::unique_lock lock(mutex_);
+  outbox_changed_.wait_until(lock, heartbeat, [this] { return stopping_ || !outbox_.empty(); });
+  if (outbox_.empty()) {
+    return std::nullopt;
+  }
+  message next = std::move(outbox_.front());
+  outbox_.pop_front();
+  return next;
+}
+
+void soak_target::Deliver(const message& sent) const {
+  // Failures are ignored: an agent that is down gets the next heartbeat.
+  static_cast<void>(CallHttp({.method = "POST",
+                              .url = "http://" + options_.control + sent.path,
+                              .headers = {{"content-type", "application/json"}},
+                              .body = sent.body,
+                              .timeout = std::chrono::seconds(1)}));
+}
+
+void soak_target::SendMessages() {
+  instant heartbeat = MonotonicNow();
   while (!stopping_) {
-    std::optional<target_announcement> announcement;
-    {
-      std::lock_guard lock(mutex_);
-      if (target_->up()) {
-        announcement = target_->Announcement();
+    if (std::optional<message> next = NextMessage(heartbeat); next.has_value()) {
+      Deliver(*next);
+    } else if (MonotonicNow() >= heartbeat) {
+      if (Incarnation().has_value()) {
+        Deliver(Heartbeat());
       }
+      heartbeat = MonotonicNow() + kHeartbeatInterval;
     }
-    if (announcement.has_value()) {
-      json body = {{"service", announcement->service},
-                   {"addr", options_.ip + ":" + std::to_string(relay_->port())},
-                   {"zone", options_.domain},
-                   {"state", "ready"},
-                   {"capacity",
-                    {{"cpu", announcement->capacity.cpu},
-                     {"mem_mb", announcement->capacity.mem_mb},
-                     {"gpu", announcement->capacity.gpu}}},
-                   {"born", announcement->start_time_ms},
-                   {"clock_ms", *announcement->clock_ms},
-                   {"seq", announcement->sequence}};
-      // Failures are ignored: an agent that is down gets the next heartbeat.
-      static_cast<void>(CallHttp(
-          {.method = "POST",
-           .url = "http://" + options_.control + "/-/Instances.Heartbeat/" + announcement->id,
-           .headers = {{"content-type", "application/json"}},
-           .body = body.dump(),
-           .timeout = std::chrono::seconds(1)}));
-    }
-    std::this_thread::sleep_for(kHeartbeatInterval);
   }
 }
 
--- a/tests/one_run/fake_leased_target.h
+++ b/tests/one_run/fake_leased_target.h
@@ -42,6 +42,8 @@
   void CrashAndResetConnections();
   void Restart();
   bool up() const { return up_; }
+  /// @return number of the present incarnation, or of the next one while the target is down
+  uint64_t incarnation() const { return incarnation_; }
 
   start_answer Start(const start_call& call);
   void Stop(const stop_call& call);
