Fault soak: threads of a process that does not end are written down

Nothing kept tells what it waited for; now state, wchan, system call and stack of its threads are kept.

--- a/tests/fault_soak/soak_cluster.cc
+++ b/tests/fault_soak/soak_cluster.cc
@@ -44,6 +44,21 @@
 
 std::string Domain(size_t number) { return absl::StrCat("zone-", number % kDomains); }
 
+/// Writes down what the threads of a process that does not end are doing, as far as /proc tells.
+void NoteThreads(pid_t pid, const std::filesystem::path& note) {
+  std::ofstream out(note);
+  std::error_code gone;
+  std::filesystem::directory_iterator thread(absl::StrCat("/proc/", pid, "/task"), gone);
+  for (; thread != std::filesystem::directory_iterator(); thread.increment(gone)) {
+    for (const char* name : {"status", "wchan", "syscall", "stack"}) {
+      std::ifstream file(thread->path() / name);
+      out << name << ": "
+          << std::string{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()}
+          << "\n";
+    }
+  }
+}
+
 /// Removes an incomplete last line, as a killed process may leave it.
 void RemovePartialLine(const std::filesystem::path& output) {
   std::ifstream file(output);
@@ -531,6 +546,7 @@
   stopped.process->Kill(SIGTERM);
   std::optional<int> code = stopped.process->WaitExit(kGrace + std::chrono::seconds(2));
   if (code != 0) {
+    NoteThreads(stopped.process->pid(), folder_ / (stopped.name + ".threads"));
     checker_.ReportViolation(absl::StrCat(
         stopped.name, " did not end with exit code 0 on SIGTERM: ", code.has_value() ? *code : -1));
   }
