Show that a foreign heartbeat hides that a target drains (review case 8)

Cause: an announcement with fields missing is taken for one of the target in use, and its sequence number makes all later ones of the target outdated.

--- a/review/stand_ins_2/fault_soak/small_deployment.cc
+++ b/review/stand_ins_2/fault_soak/small_deployment.cc
@@ -97,11 +97,13 @@
     agent->name = absl::StrCat("agent-", number);
     agent->ip = absl::StrCat(prefix_, "3.", number + 1);
     agent->domain = absl::StrCat("zone-", number % kDomains);
+    agent->heartbeats = std::make_unique<heartbeat_relay>(
+        absl::StrCat(prefix_, "5.", number + 1), absl::StrCat(agent->ip, ":", kControlPort));
     agent->target = std::make_unique<leased::soak_target>(
         leased::soak_target_options{.id = absl::StrCat("i-", number),
                                     .ip = absl::StrCat(prefix_, "4.", number + 1),
                                     .domain = agent->domain,
-                                    .control = absl::StrCat(agent->ip, ":", kControlPort),
+                                    .control = agent->heartbeats->address(),
                                     .run_time = options.run_time},
         checker_);
     agents_.push_back(std::move(agent));
@@ -135,7 +137,7 @@
   return absl::StrCat("node=", about.name, "\nip=", about.ip, "\nzone=", about.domain, "\n", front,
                       "listen.control=", about.ip, ":", kControlPort, "\nport_range=", kSessionPort,
                       ",", kSessionPort + 15, "\nseeds=", seeds_,
-                      "\nheartbeat_ms=1500\nplatform.addr=", store_->address().ip, ":",
+                      "\nheartbeat_ms=700\nplatform.addr=", store_->address().ip, ":",
                       store_->address().port,
                       "\nbounds.grace_s=6\nbounds.max_hold_ms=1000\nbounds.resend_ms=1300\n");
 }
@@ -202,6 +204,14 @@
   return fronts;
 }
 
+unsigned small_deployment::RunsAt(size_t agent) const {
+  return checker_.BegunAt(absl::StrCat(agents_[agent]->domain, "/i-", agent));
+}
+
+std::string small_deployment::ControlOf(size_t agent) const {
+  return absl::StrCat(agents_[agent]->ip, ":", kControlPort);
+}
+
 size_t small_deployment::CountInLog(size_t agent, const std::string& text) const {
   std::ifstream log(folder_ / (agents_[agent]->name + ".out"));
   std::string line;
@@ -235,4 +245,6 @@
   return absl::StrFormat("c0%014x", number);
 }
 
+std::string LongJobId(unsigned number) { return absl::StrFormat("10%014x", number); }
+
 }  // namespace wagtail::review
--- a/review/stand_ins_2/fault_soak/small_deployment.h
+++ b/review/stand_ins_2/fault_soak/small_deployment.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "review/stand_ins_2/fault_soak/heartbeat_relay.h"
 #include "review/stand_ins_2/fault_soak/silent_address.h"
 #include "tests/fault_soak/run_checker.h"
 #include "tests/fault_soak/soak_store.h"
@@ -52,6 +53,13 @@
   size_t agents() const { return agents_.size(); }
   size_t replaced() const { return gone_.size(); }
   leased::run_checker& checker() { return checker_; }
+  /// @return the target on the VM of an agent
+  leased::soak_target& target(size_t agent) { return *agents_[agent]->target; }
+  heartbeat_relay& heartbeats(size_t agent) { return *agents_[agent]->heartbeats; }
+  /// @return runs that began on the target of an agent so far
+  unsigned RunsAt(size_t agent) const;
+  /// @return IP:PORT that takes heartbeats
+  std::string ControlOf(size_t agent) const;
 
  private:
   struct vm {
@@ -59,6 +67,7 @@
     std::string ip;
     std::string domain;
     std::unique_ptr<child_process> process;
+    std::unique_ptr<heartbeat_relay> heartbeats;  ///< on the VM of an agent
     std::unique_ptr<leased::soak_target> target;  ///< on the VM of an agent
   };
 
@@ -84,5 +93,7 @@
 client_answer Cancel(const loopback_address& front, const std::string& job);
 /// @return a job id that differs for each number
 std::string JobId(unsigned number);
+/// @return the same for a job whose tasks run for 1.7 s
+std::string LongJobId(unsigned number);
 
 }  // namespace wagtail::review
--- a/review/stand_ins_2/programs.cmake
+++ b/review/stand_ins_2/programs.cmake
@@ -6,7 +6,9 @@
   ${review_tests}/fault_soak/soak_store.cc ${review_tests}/fault_soak/soak_target.cc
   ${review_tests}/one_run/fake_leased_target.cc ${review_tests}/process/child_process.cc
   ${review_tests}/support/tcp_relay.cc ${review_tests}/support/relay_connection.cc
-  ${review_folder}/stand_ins_2/fault_soak/case_record.cc ${review_folder}/stand_ins_2/silent_address.cc
+  ${review_folder}/stand_ins_2/fault_soak/case_record.cc
+  ${review_folder}/stand_ins_2/fault_soak/heartbeat_relay.cc
+  ${review_folder}/stand_ins_2/fault_soak/silent_address.cc
   ${review_folder}/stand_ins_2/fault_soak/small_deployment.cc)
 target_include_directories(review_stand_ins PUBLIC ${CMAKE_SOURCE_DIR} ${CMAKE_SOURCE_DIR}/libraries)
 target_link_libraries(review_stand_ins PUBLIC
