Delay or refuse what costs callers least while targets are full

Cause: one constant (0.15 of the slack) refused nearly all refused jobs, whatever their priority, deadline and work; a job that could have been served some 100 ms late was refused, and an admitted one never gave way. Change: where the queues of a service differ in priority, overload_policy decides: Moore-Hodgson with priorities selects the jobs to delay, delayed jobs wait as long as they are useful and are refused as not run once they can't be answered; a part of each target is left to the highest priority, since entries do not see each other's queues; a job starts late only if it is expected to end before its caller's deadline. Services with one priority are served as before.

--- a/libraries/scheduler/job_admission.cc
+++ b/libraries/scheduler/job_admission.cc
@@ -46,16 +46,20 @@
   if (!candidate.late_on_arrival && LatestStart(candidate, now) < now) {
     return refuse("too_old", options_.min_retry_after);
   }
-  if (CanStartNow(candidate, now)) {
-    return std::nullopt;
-  }
+  return std::nullopt;
+}
+
+std::optional<job_answer> job_scheduler::OverloadRefusal(const job& candidate, instant now) const {
   queue_estimate queue = QueueBefore(candidate, now);
   if (queue.wait > Scaled(queue.slack, options_.max_wait_fraction)) {
     LogEvent("job_refused", candidate.submission.id,
              "expected wait " + std::to_string(ToMilliseconds(queue.wait)) + " ms, slack " +
                  std::to_string(ToMilliseconds(queue.slack)) + " ms, tasks waiting " +
                  std::to_string(waiting_));
-    return refuse("overload", queue.wait);
+    return job_answer{
+        .outcome = job_outcome::kRefused,
+        .reason = "overload",
+        .retry_after = std::clamp(queue.wait, options_.min_retry_after, options_.max_retry_after)};
   }
   return std::nullopt;
 }
@@ -77,6 +81,9 @@
     target_table::task_demand demand{.service = candidate.submission.queue.service,
                                      .resources = each.spec.resources,
                                      .estimate = each.spec.estimate};
+    if (LeavesReserve(candidate)) {
+      demand.reserved_share = options_.reserved_share;
+    }
     startable = std::min(startable, targets_.StartableTasks(demand, now));
   }
   return tasks <= startable;
@@ -135,9 +142,7 @@
   if (start >= now || !(candidate.late_on_arrival || HasBegun(candidate))) {
     return candidate.objective;
   }
-  duration span = candidate.objective - candidate.arrived;
-  return std::min(candidate.arrived + Scaled(span, options_.late_objective_factor),
-                  candidate.deadline);
+  return UsefulUntil(candidate);
 }
 
 instant job_scheduler::LatestStart(const job& candidate, instant now) const {
--- a/libraries/scheduler/job_placement.cc
+++ b/libraries/scheduler/job_placement.cc
@@ -25,8 +25,9 @@
     return;
   }
   std::vector<waiting_job> waiting;
+  PlaceByPolicy(now);
   for (auto& [id, owner] : jobs_) {
-    if (owner.waiting > 0) {
+    if (owner.waiting > 0 && !IsPrioritized(owner)) {
       instant latest_start = LatestStart(owner, now);
       waiting.push_back({.late = latest_start < now,
                          .latest_start = latest_start,
@@ -97,6 +98,14 @@
   target_table::task_demand demand{.service = owner.submission.queue.service,
                                    .resources = each.spec.resources,
                                    .estimate = each.spec.estimate};
+  if (LeavesReserve(owner)) {
+    demand.reserved_share = options_.reserved_share;
+  }
+  if (IsPrioritized(owner) && !HasBegun(owner)) {
+    // A run that outlasts the caller's deadline is work thrown away.
+    demand.max_run =
+        Scaled(owner.deadline - now - options_.round_trip, 1 / options_.max_run_factor);
+  }
   // While the due time can be met, a task waits for a target that meets it; after that any target
   // is acceptable.
   if (now <= LatestStart(owner, now)) {
--- a/libraries/scheduler/job_scheduler.cc
+++ b/libraries/scheduler/job_scheduler.cc
@@ -15,7 +15,8 @@
       answer_(std::move(answer)),
       log_(std::move(log)),
       targets_(options_.targets),
-      crashes_(options_.crashes) {}
+      crashes_(options_.crashes),
+      history_(options_.history) {}
 
 void job_scheduler::Submit(request_serial serial, job_submission submission, instant now) {
   auto known = jobs_.find(submission.id);
@@ -41,6 +42,11 @@
     return;
   }
   std::optional<job_answer> refusal = Refusal(added, now);
+  bool is_prioritized = IsPrioritized(added);
+  bool must_wait = targets_.InUse(now) > 0 && !CanStartNow(added, now);
+  if (!refusal.has_value() && must_wait && !is_prioritized) {
+    refusal = OverloadRefusal(added, now);
+  }
   if (refusal.has_value()) {
     answer_(serial, *refusal);
     return;
@@ -48,7 +54,11 @@
   added.requests.push_back(serial);
   std::string id = added.submission.id;
   requests_[serial] = id;
-  UnblockSteps(jobs_.emplace(std::move(id), std::move(added)).first->second);
+  job& owner = jobs_.emplace(id, std::move(added)).first->second;
+  UnblockSteps(owner);
+  if (is_prioritized) {
+    AdmitByPolicy(id, must_wait, now);
+  }
 }
 
 void job_scheduler::SetState(job& owner, task& item, task_state state) {
@@ -266,7 +276,8 @@
                                      .reason = "deadline",
                                      .retry_after = options_.min_retry_after}
                         : job_answer{.outcome = job_outcome::kAbandoned, .reason = "deadline"});
-    } else if (not_begun && now > LatestStart(owner, now) && !PlaceLate(owner, now)) {
+    } else if (not_begun && !IsPrioritized(owner) && now > LatestStart(owner, now) &&
+               !PlaceLate(owner, now)) {
       ended.emplace_back(id, job_answer{.outcome = job_outcome::kRefused,
                                         .reason = "objective_out_of_reach",
                                         .retry_after = options_.min_retry_after});
@@ -275,6 +286,9 @@
   for (const auto& [id, answer] : ended) {
     Answer(id, answer);
   }
+  for (const auto& [service, highest] : prioritized_services_) {
+    RefuseHopeless(service, now);
+  }
 }
 
 void job_scheduler::AbandonAll(std::string_view reason) {
@@ -305,6 +319,9 @@
   job owner = std::move(found->second);
   jobs_.erase(found);
   WithdrawAll(owner);
+  if (IsPrioritized(owner)) {
+    history_.OnEnded(owner.submission.queue.name, answer.outcome != job_outcome::kRefused);
+  }
   for (request_serial serial : owner.requests) {
     requests_.erase(serial);
     answer_(serial, answer);
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -12,6 +12,8 @@
 
 #include "base/time.h"
 #include "scheduler/crash_ledger.h"
+#include "scheduler/overload_policy.h"
+#include "scheduler/queue_history.h"
 #include "scheduler/scheduler_events.h"
 #include "scheduler/target_table.h"
 
@@ -45,11 +47,21 @@
   double max_wait_fraction = 0.15;
   /// A job that misses its objective is to complete within this multiple of the objective.
   double late_objective_factor = 3;
-  /// A draining entry refuses a job that may not have ended when the entry ends: tasks take up to
-  /// this multiple of their predicted run time.
+  /// Tasks take up to this multiple of their predicted run time. A draining entry refuses a job
+  /// that may not have ended when the entry ends, and a late job starts only if it is expected to
+  /// end before its caller's deadline.
   double max_run_factor = 2;
   /// Maximum number of jobs in progress.
   size_t max_jobs = 4000;
+  /// Decides about the jobs of services whose queues differ in priority, while targets are full.
+  overload_policy overload = MakeOverloadPolicy({});
+  queue_history::options history{};
+  /// Smallest part of the capacity that delayed jobs are expected to get: bursts last for seconds,
+  /// and the rate of arrivals is a mean over the last one.
+  double min_spare_share = 0.25;
+  /// Part of each target that is left to the jobs of the highest priority, where queues differ in
+  /// priority: entries do not see each other's queues, and whichever is first takes what is free.
+  double reserved_share = 0.12;
 };
 
 /// Schedules the jobs of one entry: admits or refuses them, sends their tasks to targets' agents in
@@ -81,7 +93,7 @@
   void DrainUntil(instant end) { end_ = end; }
   /// Answers all jobs, since the entry ends now.
   void AbandonAll(std::string_view reason);
-  void SetPlan(const operating_plan& plan) { targets_.SetPlan(plan); }
+  void SetPlan(const operating_plan& plan);
   void OnSessionOpened(session_id session, const agent_identity& agent, instant now);
   void OnReport(session_id session, const session_report& report, instant now);
   /// Handles the crash of a target on which this task ran. Must be called before the result of the
@@ -131,6 +143,8 @@
     duration critical_path{0};     ///< estimates along the longest chain of unfinished steps
     bool started = false;          ///< a target may have run one of its tasks
     bool late_on_arrival = false;  ///< no target was fast enough for the objective on arrival
+    bool is_accepted = false;      ///< the overload policy has let it wait
+    bool is_delayed = false;       ///< others go first, as it is not expected to be in time
     int waiting = 0;               ///< tasks that wait to be placed
   };
   struct order_place {
@@ -143,9 +157,35 @@
     duration wait{0};   ///< until the tasks due before the job have been placed
     duration slack{0};  ///< until the latest start that meets the job's due time
   };
+  /// A waiting job, and what the overload policy decided about it.
+  struct planned_job {
+    job* owner = nullptr;
+    service_class verdict = service_class::kInTime;
+    duration expected_wait{0};
+  };
   using job_map = std::unordered_map<std::string, job>;
 
+  job_answer RefusalFor(const job& candidate, std::string reason, duration backlog) const;
+  /// @return why the job can't be served, whatever waits; empty if it can
   std::optional<job_answer> Refusal(const job& candidate, instant now) const;
+  /// @return the refusal of a job that would wait too long; empty if it is admitted
+  std::optional<job_answer> OverloadRefusal(const job& candidate, instant now) const;
+  /// Lets the overload policy decide about a new job and all that wait. Jobs that are not expected
+  /// to be answered in time for their callers are refused, the new one included.
+  /// @param must_wait whether its first tasks can't start now
+  void AdmitByPolicy(const std::string& id, bool must_wait, instant now);
+  /// @return whether the overload policy decides about this job: its service has queues of several
+  ///   priorities
+  bool IsPrioritized(const job& candidate) const;
+  /// @return the waiting jobs of a service in the order in which they are to be placed
+  std::vector<planned_job> PlanJobs(std::string_view service, instant now);
+  waiting_job WaitingJob(const job& owner, instant now) const;
+  overload_capacity CapacityFor(std::string_view service, instant now) const;
+  void SetDelayed(const planned_job& planned);
+  /// Refuses the delayed jobs that are not expected to be answered before their deadlines any more.
+  void RefuseHopeless(const std::string& service, instant now);
+  /// @return time until the work that waits for a service has been placed
+  duration Backlog(std::string_view service, instant now) const;
   bool EndsWithEntry(const job& candidate, instant now) const;
   /// @return whether its first tasks could start now in addition to all waiting tasks
   bool CanStartNow(const job& candidate, instant now) const;
@@ -159,8 +199,17 @@
   ///   its deadline behind all jobs that can be in time.
   instant DueTime(const job& candidate, instant now) const;
   instant LatestStart(const job& candidate, instant now) const;
+  /// @return until when an answer is useful: a late one up to a multiple of the objective
+  instant UsefulUntil(const job& candidate) const;
+  /// @return latest start of a job that is late, but still useful and answered before its deadline
+  instant LastStart(const job& owner, instant now) const;
+  /// @return whether its tasks leave the part of each target that is reserved for jobs of the
+  ///   highest priority
+  bool LeavesReserve(const job& owner) const;
   static bool HasBegun(const job& owner);
   void UnblockSteps(job& owner);
+  /// Places the jobs of services that the overload policy decides about.
+  void PlaceByPolicy(instant now);
   void PlaceJob(job& owner, instant now, bool& capacity_left);
   bool PlaceLate(job& owner, instant now);
   target_table::task_demand DemandOf(const job& owner, const step& each, instant now) const;
@@ -184,6 +233,9 @@
   log_hook log_;
   target_table targets_;
   crash_ledger crashes_;
+  queue_history history_;
+  /// Highest priority of each service that has queues of several priorities.
+  std::map<std::string, unsigned, std::less<>> prioritized_services_;
   std::map<std::string, unsigned> suspects_at_;  ///< suspected tasks placed, by agent
   job_map jobs_;
   std::unordered_map<request_serial, std::string> requests_;
--- a/libraries/scheduler/target_table.cc
+++ b/libraries/scheduler/target_table.cc
@@ -61,9 +61,16 @@
   return free;
 }
 
+task_resources target_table::FreeFor(const row& target, const task_demand& demand) {
+  task_resources free = FreeResources(target);
+  auto capacity = static_cast<double>(target.report.load.capacity.cpu);
+  free.cpu -= static_cast<int64_t>(demand.reserved_share * capacity);
+  return free;
+}
+
 duration target_table::ExpectedWait(const row& target, const task_demand& demand) const {
   const target_status& load = target.report.load;
-  task_resources free = FreeResources(target);
+  task_resources free = FreeFor(target, demand);
   if (free.Holds(demand.resources)) {
     return duration::zero();
   }
@@ -94,6 +101,10 @@
   if (IsFailing(target) && now - target.last_probe < options_.probe_interval) {
     return false;
   }
+  if (demand.max_run.has_value() &&
+      Scaled(demand.estimate, target.report.load.slowness) > *demand.max_run) {
+    return false;
+  }
   return demand.excluded == nullptr ||
          std::ranges::find(*demand.excluded, target.agent.address) == demand.excluded->end();
 }
@@ -166,7 +177,7 @@
   int64_t tasks = 0;
   for (const auto& [session, target] : rows_) {
     if (IsEligible(target, demand, now) && demand.resources.cpu > 0) {
-      tasks += std::max<int64_t>(FreeResources(target).cpu, 0) / demand.resources.cpu;
+      tasks += std::max<int64_t>(FreeFor(target, demand).cpu, 0) / demand.resources.cpu;
     }
   }
   return tasks;
--- a/libraries/scheduler/target_table.h
+++ b/libraries/scheduler/target_table.h
@@ -45,6 +45,10 @@
     const std::vector<std::string>* excluded = nullptr;  ///< addresses of agents, may be null
     /// Time left to the objective if the estimate is right; empty if any target is acceptable.
     std::optional<duration> time_left{};
+    /// Longest predicted duration that is acceptable; empty if any is.
+    std::optional<duration> max_run{};
+    /// Part of the target's capacity that the task must leave free.
+    double reserved_share = 0;
   };
 
   explicit target_table(target_table_options options) : options_(std::move(options)) {}
@@ -100,6 +104,8 @@
   bool IsUsable(const row& target, const task_demand& demand, instant now) const;
   bool IsFailing(const row& target) const;
   static task_resources FreeResources(const row& target);
+  /// @return what the task may use of the target's free resources
+  static task_resources FreeFor(const row& target, const task_demand& demand);
   duration ExpectedWait(const row& target, const task_demand& demand) const;
   bool IsEligible(const row& target, const task_demand& demand, instant now) const;
   double ScoreOf(const row& target, const task_demand& demand) const;
--- a/tests/load/load_simulation.cc
+++ b/tests/load/load_simulation.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -17,11 +18,12 @@
 constexpr duration kMaxReportInterval = std::chrono::milliseconds(120);
 constexpr duration kMinReportInterval = std::chrono::milliseconds(40);
 constexpr double kReportedLoadChange = 0.15;
-constexpr duration kCallerTimeout = std::chrono::milliseconds(2400);
 constexpr double kStretch = 1.6;
 constexpr duration kAllowance = std::chrono::milliseconds(60);
 constexpr double kLateObjectiveFactor = 3;
-constexpr double kSlowFactor = 2;
+constexpr double kLargeFactor = 1.5;
+constexpr uint32_t kWideFactor = 2;
+constexpr const char* kWide = " (wide)";
 constexpr const char* kBusy = "busy";
 /// From the start of a deadly task to the crash, and from the crash until the target is back.
 constexpr duration kCrashDelay = std::chrono::milliseconds(10);
@@ -43,6 +45,7 @@
   refused += other.refused;
   lost += other.lost;
   failed += other.failed;
+  served += other.served;
   return *this;
 }
 
@@ -50,10 +53,14 @@
   return submitted == 0 ? 1 : static_cast<double>(in_time) / submitted;
 }
 
+double load_result::ServedShare() const {
+  return submitted == 0 ? 1 : static_cast<double>(served) / submitted;
+}
+
 load_result load_simulation::totals::Sum() const {
   load_result sum;
   for (const auto& [name, result] : kinds) {
-    sum += result;
+    sum += name.ends_with(kWide) ? load_result{} : result;  // those are counted already
   }
   return sum;
 }
@@ -99,6 +106,7 @@
   duration task_time{0};
   double work_done = 0;  ///< core-seconds
   bool is_deadly = false;
+  bool is_wide = false;
   std::optional<size_t> connection{};
   bool answered = false;
 };
@@ -133,7 +141,7 @@
   for (const load_kind& kind : settings_.kinds) {
     ScheduleNext(kind);
   }
-  time_.RunUntil(begin_ + settings_.length + 2 * kCallerTimeout);
+  time_.RunUntil(begin_ + settings_.length + 2 * settings_.caller_timeout);
   for (const auto& [id, who] : callers_) {
     if (!who->answered) {
       Count(*who, {.submitted = 1, .lost = 1});
@@ -156,9 +164,21 @@
         Answer(entry, serial, answer);
       },
       [](const job_log_event& /*note*/) {});
+  entry.scheduler->SetPlan(Plan());
   TickEntry(entry);
 }
 
+operating_plan load_simulation::Plan() const {
+  operating_plan plan;
+  std::ranges::transform(settings_.kinds, std::back_inserter(plan.queues),
+                         [](const load_kind& kind) {
+                           return queue_plan{.name = kind.name,
+                                             .service = "lights",
+                                             .priority = kind.priority};
+                         });
+  return plan;
+}
+
 void load_simulation::Answer(simulated_entry& entry, request_serial serial,
                              const job_answer& answer) {
   auto found = entry.callers.find(serial);
@@ -236,10 +256,13 @@
 
 void load_simulation::StartAgent(simulated_agent& agent, unsigned number) {
   agent.number = number;
-  agent.slowness = number % settings_.slow_every == 0 ? kSlowFactor : 1;
+  agent.slowness =
+      number % settings_.slow_every == 0 ? settings_.slow_factor : settings_.normal_factor;
+  bool is_large = settings_.large_every > 0 && number % settings_.large_every == 0;
+  auto cpu = static_cast<double>(settings_.target_cpu) * (is_large ? kLargeFactor : 1);
   fake_leased_target::settings target{
       .id = "target-" + std::to_string(number),
-      .capacity = {.cpu = settings_.target_cpu, .mem_mb = 1'000'000, .gpu = 0},
+      .capacity = {.cpu = static_cast<int64_t>(cpu), .mem_mb = 1'000'000, .gpu = 0},
       .clock_rate = 1.0,
       .run_time_of = [this, &agent](const task_ref& task) { return RunTime(agent, task); }};
   agent.target = std::make_unique<fake_leased_target>(
@@ -437,7 +460,8 @@
 
 load_simulation::simulated_entry& load_simulation::RandomEntry() {
   std::vector<double> weights(entries_.size(), 1);
-  weights.front() = settings_.first_entry_weight;
+  std::fill_n(weights.begin(), std::min<size_t>(settings_.heavy_entries, weights.size()),
+              settings_.first_entry_weight);
   std::discrete_distribution<size_t> choice(weights.begin(), weights.end());
   return *entries_[choice(arrivals_)];
 }
@@ -467,18 +491,20 @@
   double error = Uniform(arrivals_, 1 - settings_.estimate_error, 1 + settings_.estimate_error);
   who->task_time = kind.task_time;
   who->is_deadly = kind.deadly > 0 && Uniform(arrivals_, 0, 1) < kind.deadly;
+  who->is_wide = kind.wide > 0 && Uniform(arrivals_, 0, 1) < kind.wide;
   std::string id = "job-" + std::to_string(next_job_++);
   job_submission submission{.id = id,
                             .text = std::make_shared<const std::string>(""),
                             .queue = {.name = kind.name,
                                       .service = "lights",
+                                      .priority = kind.priority,
                                       .max_attempts = 3,
                                       .stretch = kStretch,
                                       .allowance = kAllowance},
-                            .steps = {{.count = kind.tasks,
+                            .steps = {{.count = kind.tasks * (who->is_wide ? kWideFactor : 1),
                                        .resources = {.cpu = kind.cpu, .mem_mb = 100, .gpu = 0},
                                        .estimate = Scaled(kind.task_time, error)}},
-                            .deadline = kCallerTimeout};
+                            .deadline = settings_.caller_timeout};
   if (!connections_.empty()) {
     who->connection = arrivals_() % connections_.size();
   }
@@ -512,20 +538,24 @@
 
 void load_simulation::Count(const caller& who, const load_result& got) {
   totals_.kinds[who.kind->name + (who.is_deadly ? kDeadly : "")] += got;
+  if (who.is_wide) {
+    totals_.kinds[who.kind->name + kWide] += got;
+  }
   totals_.seconds[static_cast<size_t>(ToSeconds(who.submitted - begin_))] += got;
 }
 
 void load_simulation::OnAnswer(caller& who, const job_answer& answer) {
   duration took = time_.now() - who.submitted;
   duration objective = Scaled(who.task_time, kStretch) + kAllowance;
-  load_result got{.submitted = 1};
   bool completed = answer.outcome == job_outcome::kCompleted;
+  load_result got{.submitted = 1, .served = completed ? 1U : 0U};
   if (completed && took <= objective) {
     got.in_time = 1;
   } else if (completed && took <= Scaled(objective, kLateObjectiveFactor)) {
     got.late = 1;
   } else if (answer.outcome == job_outcome::kRefused) {
     got.refused = 1;
+    totals_.refused_after += took;
   } else {
     got.lost = 1;
     got.failed = answer.outcome == job_outcome::kFailed ? 1 : 0;
--- a/tests/load/load_simulation.h
+++ b/tests/load/load_simulation.h
@@ -25,7 +25,10 @@
   duration task_time{0};  ///< mean run time of one task on a target of nominal speed
   int64_t cpu = 1000;     ///< demand of one task, in thousandths of a core
   double per_second = 1;  ///< submissions by all callers together
+  unsigned priority = 0;  ///< of the queue; 0 is the highest
   double deadly = 0;      ///< share of the jobs whose first task crashes each target that starts it
+  /// Share of the jobs with twice as many tasks. Their results count a second time as "NAME (wide)".
+  double wide = 0;
 };
 
 /// Processor time that an entry spends on each kind of work, given a whole core.
@@ -52,9 +55,12 @@
   unsigned refused = 0;  ///< refused as not run
   unsigned lost = 0;     ///< any other outcome
   unsigned failed = 0;   ///< part of `lost`: answered as failed
+  unsigned served = 0;   ///< completed at any time
   load_result& operator+=(const load_result& other);
   /// @return share of the jobs that completed in time
   double InTimeShare() const;
+  /// @return share of the jobs that completed, however late
+  double ServedShare() const;
 };
 
 /// Simulates entries, agents and targets without faults in virtual time, under a load generated
@@ -66,7 +72,8 @@
     unsigned entries = 3;
     unsigned targets = 11;
     unsigned links = 4;             ///< number of entries to which one agent keeps sessions
-    double first_entry_weight = 1;  ///< load of the first entry relative to any other
+    double first_entry_weight = 1;  ///< load of each heavy entry relative to any other
+    unsigned heavy_entries = 1;     ///< number of entries with that load, from the first on
     /// Share of a core of each of the first `small_entries` entries; empty if processor time is not
     /// simulated. The other entries have unlimited processor time.
     std::optional<double> small_entry_share{};
@@ -77,8 +84,12 @@
     /// rotation, or to another entry if there is none. 0: each job may arrive at any entry.
     unsigned connections = 0;
     entry_rotation::options rotation{};
-    unsigned slow_every = 4;  ///< every n-th target takes twice as long
+    unsigned slow_every = 4;   ///< every n-th target is slow
+    double slow_factor = 2;    ///< run time on a slow target, relative to the nominal one
+    double normal_factor = 1;  ///< run time on the other targets
     int64_t target_cpu = 64'000;
+    unsigned large_every = 0;  ///< every n-th target has 1.5 times the capacity; 0: none
+    duration caller_timeout = std::chrono::milliseconds(2400);
     double estimate_error = 0.4;  ///< largest relative error of a job's estimate
     double task_spread = 0.1;     ///< largest relative deviation of a task from the mean of its job
     std::vector<load_kind> kinds{};
@@ -101,6 +112,7 @@
     std::vector<load_result> seconds{};  ///< by the second in which the job was submitted
     double work_done = 0;                ///< core-seconds of completed tasks
     double work_wasted = 0;              ///< part of work_done for jobs that did not complete
+    duration refused_after{0};           ///< sum over the refused jobs of the time until then
     duration processor_used{0};          ///< by the small entries, out of their share
     std::map<std::string, unsigned> crashes{};  ///< of targets, by the deadly job
     load_result Sum() const;
@@ -117,6 +129,8 @@
   struct session;
   struct caller;
 
+  /// @return a plan with a queue for each kind of job
+  operating_plan Plan() const;
   void StartEntry(simulated_entry& entry);
   void StartAgent(simulated_agent& agent, unsigned number);
   void Connect(simulated_agent& agent, simulated_entry& entry);
