Delay rather than refuse, and spread losses over the lower priorities

Cause: the lowest priority lost up to a floor before the next one lost anything, and jobs were delayed that could then only be refused. Change: jobs that stay useful when delayed give way first; beyond that each lower priority loses up to twice the share of the next higher one. A job can always start until its latest start, whatever its estimate says.

--- a/libraries/scheduler/job_overload.cc
+++ b/libraries/scheduler/job_overload.cc
@@ -43,9 +43,9 @@
 
 instant job_scheduler::LastStart(const job& owner, instant now) const {
   duration run = PredictedRunTime(owner, now);
-  instant end =
-      std::min(UsefulUntil(owner) - run, owner.deadline - Scaled(run, options_.max_run_factor));
-  return end - options_.round_trip;
+  instant end = std::min(UsefulUntil(owner) - Scaled(run, options_.late_run_factor),
+                         owner.deadline - Scaled(run, options_.max_run_factor));
+  return std::max(end - options_.round_trip, LatestStart(owner, now));
 }
 
 waiting_job job_scheduler::WaitingJob(const job& owner, instant now) const {
--- a/libraries/scheduler/job_placement.cc
+++ b/libraries/scheduler/job_placement.cc
@@ -101,15 +101,14 @@
   if (LeavesReserve(owner)) {
     demand.reserved_share = options_.reserved_share;
   }
-  if (IsPrioritized(owner) && !HasBegun(owner)) {
-    // A run that outlasts the caller's deadline is work thrown away.
-    demand.max_run =
-        Scaled(owner.deadline - now - options_.round_trip, 1 / options_.max_run_factor);
-  }
   // While the due time can be met, a task waits for a target that meets it; after that any target
   // is acceptable.
   if (now <= LatestStart(owner, now)) {
     demand.time_left = DueTime(owner, now) - now - (owner.critical_path - each.spec.estimate);
+  } else if (IsPrioritized(owner) && !HasBegun(owner)) {
+    // A run that outlasts the caller's deadline is work thrown away.
+    duration left = owner.deadline - now - options_.round_trip;
+    demand.max_run = Scaled(left, 1 / options_.max_run_factor);
   }
   return demand;
 }
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -56,6 +56,9 @@
   /// Decides about the jobs of services whose queues differ in priority, while targets are full.
   overload_policy overload = MakeOverloadPolicy({});
   queue_history::options history{};
+  /// A delayed job starts while its answer is expected to be useful if its tasks take this multiple
+  /// of their predicted run time.
+  double late_run_factor = 1.5;
   /// Smallest part of the capacity that delayed jobs are expected to get: bursts last for seconds,
   /// and the rate of arrivals is a mean over the last one.
   double min_spare_share = 0.25;
--- a/libraries/scheduler/overload_policy.cc
+++ b/libraries/scheduler/overload_policy.cc
@@ -1,6 +1,7 @@
 #include "scheduler/overload_policy.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <numeric>
 #include <queue>
@@ -27,9 +28,12 @@
       : jobs_(jobs), options_(options) {}
 
   std::vector<job_decision> Decide(const overload_capacity& capacity, instant now) {
+    double work = 0;
     for (const waiting_job& job : jobs_) {
       highest_priority_ = std::min(highest_priority_, job.priority);
+      work += job.work;
     }
+    all_started_ = now + TimeFor(work, capacity.total);
     SortByLatestStart();
     SelectDelayed(capacity.total, now);
     AddInTime(capacity.total);
@@ -38,12 +42,20 @@
   }
 
  private:
+  bool IsHighest(const waiting_job& job) const { return job.priority == highest_priority_; }
+
+  /// @return share of its queue's jobs that were refused, relative to what its priority allows
+  double WeightedLoss(const waiting_job& job) const {
+    unsigned levels = job.priority - highest_priority_;
+    return (1 - job.queue_served) / std::pow(options_.loss_ratio, levels);
+  }
+
   /// Orders jobs by how little it costs callers to delay them; the largest is delayed first.
   auto DelayRank(size_t index) const {
     const waiting_job& job = jobs_[index];
-    bool is_highest = job.priority == highest_priority_;
-    bool starves = job.queue_served < options_.min_served_share;
-    return std::tuple(!is_highest, !starves, job.priority, job.queue_work, job.arrived, job.id);
+    bool stays_useful = all_started_ <= job.last_start;
+    return std::tuple(!IsHighest(job), stays_useful, -WeightedLoss(job), job.priority,
+                      job.queue_work, job.arrived, job.id);
   }
 
   void SortByLatestStart() {
@@ -100,9 +112,7 @@
                          [this](size_t index) { return is_delayed_[index]; });
     std::ranges::sort(delayed, {}, [this](size_t index) {
       const waiting_job& job = jobs_[index];
-      bool is_highest = job.priority == highest_priority_;
-      bool starves = job.queue_served < options_.min_served_share;
-      return std::tuple(!is_highest, !starves, job.priority, job.last_start, job.id);
+      return std::tuple(!IsHighest(job), -WeightedLoss(job), job.priority, job.last_start, job.id);
     });
     duration in_time_wait = TimeFor(work_before_, capacity.total);
     double before = 0;
@@ -123,6 +133,7 @@
   std::span<const waiting_job> jobs_;
   const overload_options& options_;
   unsigned highest_priority_ = std::numeric_limits<unsigned>::max();
+  instant all_started_;        ///< when all waiting jobs are expected to have started
   std::vector<size_t> order_;  ///< indexes by latest start
   std::vector<bool> is_delayed_;
   std::vector<job_decision> decisions_;
--- a/libraries/scheduler/overload_policy.h
+++ b/libraries/scheduler/overload_policy.h
@@ -60,9 +60,9 @@
   /// Largest share of a job's slack that the expected wait may use. The wait is a mean over tasks,
   /// and a job is as late as its last task.
   double max_wait_fraction = 0.15;
-  /// A queue of which a smaller share is served gives way only if all others are below it too, so
-  /// that no priority starves.
-  double min_served_share = 0.5;
+  /// While jobs of the highest priority are served, the others lose a share of their jobs that
+  /// grows by this factor with each lower priority: none starves while another one loses nothing.
+  double loss_ratio = 2;
   /// Maximum number of delayed jobs.
   size_t max_delayed_jobs = 500;
 };
--- a/libraries/scheduler/queue_history.h
+++ b/libraries/scheduler/queue_history.h
@@ -14,7 +14,7 @@
  public:
   struct options {
     /// Weight of a new job in the means of its queue.
-    double job_weight = 0.02;
+    double job_weight = 0.1;
     /// Time over which the rate of arriving work is averaged.
     duration rate_window = std::chrono::milliseconds(1000);
   };
