Let only new and urgent jobs delay others, and adapt the reserve

Cause: jobs that had been let wait were judged again on each pass by a slack that shrinks, so that long jobs of the lowest priority were delayed until they could only be refused; delayed jobs took capacity from new ones that then were late. Change: a delayed job stays behind the others and leaves 0.3 of each target free; only new jobs and urgent ones delay others. The reserve for the highest priority grows with each urgent job that begins late and shrinks with the others.

--- a/libraries/scheduler/job_admission.cc
+++ b/libraries/scheduler/job_admission.cc
@@ -71,7 +71,7 @@
 
 bool job_scheduler::CanStartNow(const job& candidate, instant now) const {
   // Tasks returned by an agent wait until the next placement, even where resources are free.
-  int64_t tasks = waiting_;
+  int64_t tasks = IsUrgent(candidate) ? urgent_waiting_ : waiting_;
   int64_t startable = std::numeric_limits<int64_t>::max();
   for (const step& each : candidate.steps) {
     if (!each.spec.after.empty()) {
@@ -81,9 +81,7 @@
     target_table::task_demand demand{.service = candidate.submission.queue.service,
                                      .resources = each.spec.resources,
                                      .estimate = each.spec.estimate};
-    if (LeavesReserve(candidate)) {
-      demand.reserved_share = options_.reserved_share;
-    }
+    demand.reserved_share = ReservedShare(candidate);
     startable = std::min(startable, targets_.StartableTasks(demand, now));
   }
   return tasks <= startable;
--- a/libraries/scheduler/job_overload.cc
+++ b/libraries/scheduler/job_overload.cc
@@ -17,11 +17,13 @@
   for (const queue_plan& queue : plan.queues) {
     priorities[queue.service].insert(queue.priority);
   }
-  prioritized_services_.clear();
+  std::erase_if(priorities, [](const auto& service) { return service.second.size() < 2; });
+  std::erase_if(prioritized_services_,
+                [&](const auto& service) { return !priorities.contains(service.first); });
   for (const auto& [service, levels] : priorities) {
-    if (levels.size() > 1) {
-      prioritized_services_.emplace(service, *levels.begin());
-    }
+    auto known = prioritized_services_.try_emplace(
+        service, prioritized_service{.reserve = priority_reserve(options_.reserve)});
+    known.first->second.highest = *levels.begin();
   }
 }
 
@@ -29,10 +31,28 @@
   return prioritized_services_.contains(candidate.submission.queue.service);
 }
 
-bool job_scheduler::LeavesReserve(const job& owner) const {
+bool job_scheduler::IsUrgent(const job& owner) const {
   auto service = prioritized_services_.find(owner.submission.queue.service);
   return service != prioritized_services_.end() &&
-         owner.submission.queue.priority > service->second && !HasBegun(owner);
+         owner.submission.queue.priority == service->second.highest;
+}
+
+double job_scheduler::ReservedShare(const job& owner) const {
+  auto service = prioritized_services_.find(owner.submission.queue.service);
+  bool may_use_all = service == prioritized_services_.end() || HasBegun(owner) ||
+                     owner.submission.queue.priority == service->second.highest;
+  if (may_use_all) {
+    return 0;
+  }
+  double urgent = service->second.reserve.share();
+  return owner.is_delayed ? std::max(urgent, options_.delayed_reserve) : urgent;
+}
+
+void job_scheduler::OnUrgentJob(const job& owner, bool in_time) {
+  auto service = prioritized_services_.find(owner.submission.queue.service);
+  if (owner.is_urgent && service != prioritized_services_.end()) {
+    service->second.reserve.OnBegun(in_time);
+  }
 }
 
 instant job_scheduler::UsefulUntil(const job& candidate) const {
@@ -50,8 +70,9 @@
 
 waiting_job job_scheduler::WaitingJob(const job& owner, instant now) const {
   queue_history::queue_means queue = history_.MeansOf(owner.submission.queue.name);
+  unsigned highest = prioritized_services_.at(owner.submission.queue.service).highest;
   return {.id = owner.submission.id,
-          .priority = owner.submission.queue.priority,
+          .priority = owner.submission.queue.priority - highest,
           .arrived = owner.arrived,
           .latest_start = LatestStart(owner, now),
           .last_start = LastStart(owner, now),
@@ -59,6 +80,7 @@
           .queue_work = queue.work,
           .queue_served = queue.served,
           .accepted = owner.is_accepted,
+          .delayed = owner.is_delayed,
           .begun = HasBegun(owner)};
 }
 
@@ -134,6 +156,7 @@
              "queue " + owner.submission.queue.name + ", expected wait " +
                  std::to_string(ToMilliseconds(planned.expected_wait)) + " ms, tasks waiting " +
                  std::to_string(waiting_));
+    OnUrgentJob(owner, false);
     Answer(std::string(owner.submission.id),
            RefusalFor(owner, is_new ? "overload" : "displaced", backlog));
   }
--- a/libraries/scheduler/job_placement.cc
+++ b/libraries/scheduler/job_placement.cc
@@ -56,6 +56,8 @@
 }
 
 void job_scheduler::PlaceJob(job& owner, instant now, bool& capacity_left) {
+  bool had_begun = HasBegun(owner);
+  bool in_time = now <= LatestStart(owner, now);
   std::map<session_id, order_batch> batches;
   for (uint32_t number = 0; number < owner.steps.size(); ++number) {
     step& each = owner.steps[number];
@@ -79,6 +81,9 @@
   if (batches.empty()) {
     return;
   }
+  if (!had_begun) {
+    OnUrgentJob(owner, in_time);
+  }
   std::string placements;
   for (const auto& [session, batch] : batches) {
     placements += std::to_string(batch.orders.size()) + " tasks to " +
@@ -98,9 +103,7 @@
   target_table::task_demand demand{.service = owner.submission.queue.service,
                                    .resources = each.spec.resources,
                                    .estimate = each.spec.estimate};
-  if (LeavesReserve(owner)) {
-    demand.reserved_share = options_.reserved_share;
-  }
+  demand.reserved_share = ReservedShare(owner);
   // While the due time can be met, a task waits for a target that meets it; after that any target
   // is acceptable.
   if (now <= LatestStart(owner, now)) {
--- a/libraries/scheduler/job_scheduler.cc
+++ b/libraries/scheduler/job_scheduler.cc
@@ -43,6 +43,7 @@
   }
   std::optional<job_answer> refusal = Refusal(added, now);
   bool is_prioritized = IsPrioritized(added);
+  added.is_urgent = IsUrgent(added);
   bool must_wait = targets_.InUse(now) > 0 && !CanStartNow(added, now);
   if (!refusal.has_value() && must_wait && !is_prioritized) {
     refusal = OverloadRefusal(added, now);
@@ -66,6 +67,7 @@
     if (which == task_state::kWaiting) {
       owner.waiting += step;
       waiting_ += step;
+      urgent_waiting_ += owner.is_urgent ? step : 0;
     } else if (which == task_state::kUnsettled) {
       unsettled_ += step;
     }
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -13,6 +13,7 @@
 #include "base/time.h"
 #include "scheduler/crash_ledger.h"
 #include "scheduler/overload_policy.h"
+#include "scheduler/priority_reserve.h"
 #include "scheduler/queue_history.h"
 #include "scheduler/scheduler_events.h"
 #include "scheduler/target_table.h"
@@ -61,10 +62,11 @@
   double late_run_factor = 1.5;
   /// Smallest part of the capacity that delayed jobs are expected to get: bursts last for seconds,
   /// and the rate of arrivals is a mean over the last one.
-  double min_spare_share = 0.25;
-  /// Part of each target that is left to the jobs of the highest priority, where queues differ in
-  /// priority: entries do not see each other's queues, and whichever is first takes what is free.
-  double reserved_share = 0.12;
+  double min_spare_share = 0.02;
+  priority_reserve::options reserve{};
+  /// Part of each target that delayed jobs leave free for those that can be in time: a job that is
+  /// late already should not make others late.
+  double delayed_reserve = 0.3;
 };
 
 /// Schedules the jobs of one entry: admits or refuses them, sends their tasks to targets' agents in
@@ -146,6 +148,7 @@
     duration critical_path{0};     ///< estimates along the longest chain of unfinished steps
     bool started = false;          ///< a target may have run one of its tasks
     bool late_on_arrival = false;  ///< no target was fast enough for the objective on arrival
+    bool is_urgent = false;        ///< of the highest priority when it arrived
     bool is_accepted = false;      ///< the overload policy has let it wait
     bool is_delayed = false;       ///< others go first, as it is not expected to be in time
     int waiting = 0;               ///< tasks that wait to be placed
@@ -206,9 +209,13 @@
   instant UsefulUntil(const job& candidate) const;
   /// @return latest start of a job that is late, but still useful and answered before its deadline
   instant LastStart(const job& owner, instant now) const;
-  /// @return whether its tasks leave the part of each target that is reserved for jobs of the
-  ///   highest priority
-  bool LeavesReserve(const job& owner) const;
+  /// @return whether its queue has the highest priority of a service with several
+  bool IsUrgent(const job& owner) const;
+  /// @return part of each target that its tasks leave free for other jobs
+  double ReservedShare(const job& owner) const;
+  /// Lets the reserve for urgent jobs follow how they fare.
+  /// @param in_time whether its first tasks have been ordered by its latest start
+  void OnUrgentJob(const job& owner, bool in_time);
   static bool HasBegun(const job& owner);
   void UnblockSteps(job& owner);
   /// Places the jobs of services that the overload policy decides about.
@@ -237,14 +244,19 @@
   target_table targets_;
   crash_ledger crashes_;
   queue_history history_;
-  /// Highest priority of each service that has queues of several priorities.
-  std::map<std::string, unsigned, std::less<>> prioritized_services_;
+  /// A service that has queues of several priorities.
+  struct prioritized_service {
+    unsigned highest = 0;  ///< the priority that is served first
+    priority_reserve reserve;
+  };
+  std::map<std::string, prioritized_service, std::less<>> prioritized_services_;
   std::map<std::string, unsigned> suspects_at_;  ///< suspected tasks placed, by agent
   job_map jobs_;
   std::unordered_map<request_serial, std::string> requests_;
   std::unordered_map<uint64_t, order_place> orders_;
   uint64_t next_order_ = 1;
   int waiting_ = 0;             ///< tasks of all jobs that wait to be placed
+  int urgent_waiting_ = 0;      ///< part of waiting_ that belongs to urgent jobs
   int unsettled_ = 0;           ///< tasks of all jobs that may still run on a lost agent
   std::optional<instant> end_;  ///< when the draining entry ends
   std::optional<instant> no_target_since_;  ///< empty while some target is in use
--- a/libraries/scheduler/overload_policy.cc
+++ b/libraries/scheduler/overload_policy.cc
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
+#include <iterator>
 #include <numeric>
 #include <queue>
+#include <string_view>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 namespace wagtail::leased {
 namespace {
@@ -21,6 +24,23 @@
              : kForever;
 }
 
+/// A job that can be delayed. Those that compare greater cost callers less to delay.
+struct delay_candidate {
+  bool is_urgent = false;
+  double weighted_loss = 0;
+  unsigned priority = 0;
+  double queue_work = 0;
+  instant arrived{};
+  std::string_view id;
+  size_t index = 0;
+
+  bool operator<(const delay_candidate& other) const {
+    return std::tuple(!is_urgent, -weighted_loss, priority, queue_work, arrived, id) <
+           std::tuple(!other.is_urgent, -other.weighted_loss, other.priority, other.queue_work,
+                      other.arrived, other.id);
+  }
+};
+
 /// Sorts one set of jobs into those to serve in time and those to delay.
 class job_sorter {
  public:
@@ -28,12 +48,6 @@
       : jobs_(jobs), options_(options) {}
 
   std::vector<job_decision> Decide(const overload_capacity& capacity, instant now) {
-    double work = 0;
-    for (const waiting_job& job : jobs_) {
-      highest_priority_ = std::min(highest_priority_, job.priority);
-      work += job.work;
-    }
-    all_started_ = now + TimeFor(work, capacity.total);
     SortByLatestStart();
     SelectDelayed(capacity.total, now);
     AddInTime(capacity.total);
@@ -42,20 +56,22 @@
   }
 
  private:
-  bool IsHighest(const waiting_job& job) const { return job.priority == highest_priority_; }
+  bool IsUrgent(const waiting_job& job) const { return job.priority == 0; }
 
   /// @return share of its queue's jobs that were refused, relative to what its priority allows
   double WeightedLoss(const waiting_job& job) const {
-    unsigned levels = job.priority - highest_priority_;
-    return (1 - job.queue_served) / std::pow(options_.loss_ratio, levels);
+    return (1 - job.queue_served) / std::pow(options_.loss_ratio, job.priority);
   }
 
-  /// Orders jobs by how little it costs callers to delay them; the largest is delayed first.
-  auto DelayRank(size_t index) const {
+  delay_candidate CandidateOf(size_t index) const {
     const waiting_job& job = jobs_[index];
-    bool stays_useful = all_started_ <= job.last_start;
-    return std::tuple(!IsHighest(job), stays_useful, -WeightedLoss(job), job.priority,
-                      job.queue_work, job.arrived, job.id);
+    return {.is_urgent = IsUrgent(job),
+            .weighted_loss = WeightedLoss(job),
+            .priority = job.priority,
+            .queue_work = job.queue_work,
+            .arrived = job.arrived,
+            .id = job.id,
+            .index = index};
   }
 
   void SortByLatestStart() {
@@ -69,32 +85,38 @@
   }
 
   void SelectDelayed(double capacity, instant now) {
-    auto cheaper = [this](size_t one, size_t other) { return DelayRank(one) < DelayRank(other); };
-    std::priority_queue<size_t, std::vector<size_t>, decltype(cheaper)> candidates(cheaper);
-    double before = 0;  // work of the jobs placed earlier
+    work_before_ = 0;
     for (size_t index : order_) {
       const waiting_job& job = jobs_[index];
-      if (job.begun) {
-        before += job.work;
+      // A job that was delayed stays behind: otherwise late jobs would make others late.
+      is_delayed_[index] = !job.begun && (job.delayed || job.latest_start < now);
+      if (is_delayed_[index]) {
         continue;
       }
-      if (job.latest_start < now) {
-        is_delayed_[index] = true;  // late already, whatever gives way to it
-        continue;
+      if (!job.begun) {
+        candidates_.push(CandidateOf(index));
       }
-      candidates.push(index);
-      duration limit = Scaled(job.latest_start - now, options_.max_wait_fraction);
-      while (!is_delayed_[index] && TimeFor(before, capacity) > limit) {
-        size_t delayed = candidates.top();
-        candidates.pop();
-        is_delayed_[delayed] = true;
-        before -= delayed == index ? 0 : jobs_[delayed].work;
+      bool needs_room = !job.begun && (IsUrgent(job) || !job.accepted);
+      if (needs_room) {
+        MakeRoomFor(index, capacity, now);
       }
-      before += is_delayed_[index] ? 0 : job.work;
+      work_before_ += is_delayed_[index] ? 0 : job.work;
+    }
+  }
+
+  /// Delays the jobs that cost callers least until the expected wait of this one is short enough.
+  void MakeRoomFor(size_t index, double capacity, instant now) {
+    duration limit = Scaled(jobs_[index].latest_start - now, options_.max_wait_fraction);
+    while (!is_delayed_[index] && TimeFor(work_before_, capacity) > limit) {
+      size_t delayed = candidates_.top().index;
+      candidates_.pop();
+      is_delayed_[delayed] = true;
+      work_before_ -= delayed == index ? 0 : jobs_[delayed].work;
     }
   }
 
   void AddInTime(double capacity) {
+    work_before_ = 0;
     for (size_t index : order_) {
       if (is_delayed_[index]) {
         continue;
@@ -112,7 +134,7 @@
                          [this](size_t index) { return is_delayed_[index]; });
     std::ranges::sort(delayed, {}, [this](size_t index) {
       const waiting_job& job = jobs_[index];
-      return std::tuple(!IsHighest(job), -WeightedLoss(job), job.priority, job.last_start, job.id);
+      return std::tuple(!IsUrgent(job), -WeightedLoss(job), job.priority, job.last_start, job.id);
     });
     duration in_time_wait = TimeFor(work_before_, capacity.total);
     double before = 0;
@@ -132,12 +154,12 @@
 
   std::span<const waiting_job> jobs_;
   const overload_options& options_;
-  unsigned highest_priority_ = std::numeric_limits<unsigned>::max();
   instant all_started_;        ///< when all waiting jobs are expected to have started
   std::vector<size_t> order_;  ///< indexes by latest start
   std::vector<bool> is_delayed_;
+  std::priority_queue<delay_candidate> candidates_;  ///< on top the one that costs least to delay
   std::vector<job_decision> decisions_;
-  double work_before_ = 0;
+  double work_before_ = 0;  ///< of the jobs that are placed before the current one
 };
 
 }  // namespace
--- a/libraries/scheduler/overload_policy.h
+++ b/libraries/scheduler/overload_policy.h
@@ -18,7 +18,7 @@
 /// A job that waits for resources.
 struct waiting_job {
   std::string_view id;
-  unsigned priority = 0;  ///< of its queue; 0 is the highest
+  unsigned priority = 0;  ///< of its queue, counted from the highest of the service, which is 0
   instant arrived{};
   instant latest_start{};   ///< latest start that meets the objective
   instant last_start{};     ///< latest start that is answered before the caller's deadline
@@ -26,6 +26,7 @@
   double queue_work = 0;    ///< mean work of the jobs of its queue, in the same unit
   double queue_served = 1;  ///< share of the recent jobs of its queue that were not refused
   bool accepted = false;    ///< was let wait by an earlier decision
+  bool delayed = false;     ///< was delayed by an earlier decision
   bool begun = false;       ///< has ordered tasks, so it can't be refused any more
 };
 
@@ -67,11 +68,12 @@
   size_t max_delayed_jobs = 500;
 };
 
-/// Moore-Hodgson with priorities: takes the jobs in order of their latest starts and, whenever one
-/// would wait too long, delays the job that costs callers least: of the lowest priority, then of
-/// the queue with the largest jobs, then the one that arrived last. The mean work of the queue
-/// counts and not that of the job, so that the large jobs of a queue are served as often as the
-/// small ones.
+/// Moore-Hodgson with priorities: takes the jobs in order of their latest starts. Whenever a new
+/// job, or one of the highest priority, would wait too long, delays the job that costs callers
+/// least: one below the highest priority, of the queue that has lost the least, then of the lowest
+/// priority, then of the queue with the largest jobs, then the one that arrived last. The mean work
+/// of the queue counts and not that of the job, so that the large jobs of a queue are served as
+/// often as others.
 overload_policy MakeOverloadPolicy(const overload_options& options);
 
 }  // namespace wagtail::leased
--- a/tests/load/load_simulation.cc
+++ b/tests/load/load_simulation.cc
@@ -170,12 +170,10 @@
 
 operating_plan load_simulation::Plan() const {
   operating_plan plan;
-  std::ranges::transform(settings_.kinds, std::back_inserter(plan.queues),
-                         [](const load_kind& kind) {
-                           return queue_plan{.name = kind.name,
-                                             .service = "lights",
-                                             .priority = kind.priority};
-                         });
+  std::ranges::transform(
+      settings_.kinds, std::back_inserter(plan.queues), [](const load_kind& kind) {
+        return queue_plan{.name = kind.name, .service = "lights", .priority = kind.priority};
+      });
   return plan;
 }
 
--- a/tests/load/load_simulation.h
+++ b/tests/load/load_simulation.h
@@ -27,7 +27,8 @@
   double per_second = 1;  ///< submissions by all callers together
   unsigned priority = 0;  ///< of the queue; 0 is the highest
   double deadly = 0;      ///< share of the jobs whose first task crashes each target that starts it
-  /// Share of the jobs with twice as many tasks. Their results count a second time as "NAME (wide)".
+  /// Share of the jobs with twice as many tasks. Their results count a second time as "NAME
+  /// (wide)".
   double wide = 0;
 };
 
