Move the reservation of loopback addresses out of soak_cluster.cc

Cause: tests of untrusted clients start processes on loopback addresses of their own too. Change: ReserveAddressPrefix and the session port stand in address_prefix.{h,cc}; no body changed.

--- a/tests/fault_soak/soak_cluster.cc
+++ b/tests/fault_soak/soak_cluster.cc
@@ -1,9 +1,5 @@
 #include "tests/fault_soak/soak_cluster.h"
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <array>
 #include <csignal>
@@ -16,7 +12,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
-#include "base/verify.h"
+#include "tests/fault_soak/address_prefix.h"
 
 namespace wagtail::leased {
 namespace {
@@ -26,7 +22,6 @@
 constexpr uint16_t kFrontPort = 8161;
 constexpr uint16_t kReadyPort = 8167;
 constexpr uint16_t kControlPort = 8166;
-constexpr uint16_t kSessionPort = 7720;
 constexpr size_t kDomains = 3;
 constexpr duration kPollInterval = std::chrono::milliseconds(10);
 /// Same as in the platform's settings.
@@ -68,26 +63,6 @@
   }
 }
 
-/// Reserves addresses that no other run on this computer uses, until the process exits.
-/// @return their common prefix
-std::string ReserveAddressPrefix() {
-  constexpr unsigned kFirst = 20;
-  constexpr unsigned kLast = 250;
-  for (unsigned number = kFirst; number <= kLast; ++number) {
-    std::string prefix = absl::StrCat("127.", number, ".");
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(kSessionPort);
-    VERIFY(inet_pton(AF_INET, (prefix + "1.9").c_str(), &address.sin_addr) == 1);
-    int reservation = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (bind(reservation, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
-      return prefix;
-    }
-    close(reservation);
-  }
-  VERIFY_NOT_REACHED();
-}
-
 }  // namespace
 
 soak_cluster::soak_cluster(const soak_options& options)
