Limit how long open_connection connects and sends

Cause: a server that accepts no connection or reads nothing blocked connect and send of a test for minutes, outside of the timeout of the request. Change: SO_SNDTIMEO of 5 s on the socket; it bounds connect and send alone.

--- a/tests/fault_soak/open_connection.cc
+++ b/tests/fault_soak/open_connection.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <array>
@@ -15,6 +16,9 @@
 namespace {
 
 constexpr size_t kReadBytes = 4096;
+/// Limit on connecting and on sending: a peer that accepts or reads nothing must not block the
+/// test.
+constexpr timeval kSendTimeout{.tv_sec = 5, .tv_usec = 0};
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 /// @return the Content-Length of the head, or 0 without one
@@ -40,6 +44,7 @@
     return true;
   }
   socket_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &kSendTimeout, sizeof(kSendTimeout));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(to_.port);
