--- /dev/null
+++ b/tests/untrusted_clients/client_crowd.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "tests/support/tcp_relay.h"
+
+namespace wagtail {
+
+/// The bytes that a client sends: `head`, `piece` as often as `pieces` says, then `tail`.
+struct crowd_script {
+  std::string head{};
+  std::string piece{};
+  size_t pieces = 0;
+  std::string tail{};
+
+  size_t size() const { return head.size() + piece.size() * pieces + tail.size(); }
+  /// @return the bytes up to the end of the part that holds the byte at `position`
+  std::string_view From(size_t position) const;
+};
+
+/// Abusive clients on non-blocking sockets, driven by one thread. All send the same script at once,
+/// piece by piece in turn, discard answers and keep their connections open. A client whose
+/// connection the server closes connects again, a bounded number of times.
+class client_crowd {
+ public:
+  client_crowd(const loopback_address& to, size_t clients, crowd_script script);
+  ~client_crowd();
+  client_crowd(const client_crowd&) = delete;
+  client_crowd& operator=(const client_crowd&) = delete;
+
+  /// Waits until the clients neither send nor receive anything any more, or a timeout.
+  void WaitUntilQuiet() const;
+  /// @return number of connections that the server has not closed
+  size_t open_connections() const { return open_connections_; }
+
+ private:
+  struct client {
+    int socket = -1;
+    size_t sent = 0;
+    unsigned connects = 0;
+  };
+  void Run();
+  void Connect(client& connecting);
+  void Serve(client& served, short events);
+  void SendSome(client& sending);
+  /// @return false if the server has closed the connection
+  bool DiscardAnswers(const client& receiving);
+
+  loopback_address to_;
+  crowd_script script_;
+  std::vector<client> clients_;
+  std::atomic<size_t> progress_ = 0;  ///< counts what was sent, received and closed
+  std::atomic<size_t> open_connections_ = 0;
+  std::atomic<bool> stopping_ = false;
+  std::jthread thread_;
+};
+
+}  // namespace wagtail
