Let delayed jobs wait until their callers' deadlines

Cause: a job was refused once it could not be answered within three times its objective, though its caller waits for longer; up to 0.25 of each target was kept free for the highest priority, which made the others late. Change: delayed jobs wait as long as they are expected to be answered before the deadline; the reserve stays within 0.02 and 0.12 of each target.

--- a/libraries/scheduler/job_admission.cc
+++ b/libraries/scheduler/job_admission.cc
@@ -140,7 +140,9 @@
   if (start >= now || !(candidate.late_on_arrival || HasBegun(candidate))) {
     return candidate.objective;
   }
-  return UsefulUntil(candidate);
+  duration span = candidate.objective - candidate.arrived;
+  return std::min(candidate.arrived + Scaled(span, options_.late_objective_factor),
+                  candidate.deadline);
 }
 
 instant job_scheduler::LatestStart(const job& candidate, instant now) const {
--- a/libraries/scheduler/job_overload.cc
+++ b/libraries/scheduler/job_overload.cc
@@ -55,17 +55,9 @@
   }
 }
 
-instant job_scheduler::UsefulUntil(const job& candidate) const {
-  duration span = candidate.objective - candidate.arrived;
-  return std::min(candidate.arrived + Scaled(span, options_.late_objective_factor),
-                  candidate.deadline);
-}
-
 instant job_scheduler::LastStart(const job& owner, instant now) const {
-  duration run = PredictedRunTime(owner, now);
-  instant end = std::min(UsefulUntil(owner) - Scaled(run, options_.late_run_factor),
-                         owner.deadline - Scaled(run, options_.max_run_factor));
-  return std::max(end - options_.round_trip, LatestStart(owner, now));
+  duration run = Scaled(PredictedRunTime(owner, now), options_.max_run_factor);
+  return std::max(owner.deadline - run - options_.round_trip, LatestStart(owner, now));
 }
 
 waiting_job job_scheduler::WaitingJob(const job& owner, instant now) const {
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -57,9 +57,6 @@
   /// Decides about the jobs of services whose queues differ in priority, while targets are full.
   overload_policy overload = MakeOverloadPolicy({});
   queue_history::options history{};
-  /// A delayed job starts while its answer is expected to be useful if its tasks take this multiple
-  /// of their predicted run time.
-  double late_run_factor = 1.5;
   /// Smallest part of the capacity that delayed jobs are expected to get: bursts last for seconds,
   /// and the rate of arrivals is a mean over the last one.
   double min_spare_share = 0.02;
@@ -205,9 +202,7 @@
   ///   its deadline behind all jobs that can be in time.
   instant DueTime(const job& candidate, instant now) const;
   instant LatestStart(const job& candidate, instant now) const;
-  /// @return until when an answer is useful: a late one up to a multiple of the objective
-  instant UsefulUntil(const job& candidate) const;
-  /// @return latest start of a job that is late, but still useful and answered before its deadline
+  /// @return latest start of a job that may be late, but is answered before its caller's deadline
   instant LastStart(const job& owner, instant now) const;
   /// @return whether its queue has the highest priority of a service with several
   bool IsUrgent(const job& owner) const;
--- a/libraries/scheduler/priority_reserve.h
+++ b/libraries/scheduler/priority_reserve.h
@@ -12,8 +12,8 @@
 class priority_reserve {
  public:
   struct options {
-    double min_share = 0.08;
-    double max_share = 0.25;
+    double min_share = 0.02;
+    double max_share = 0.12;
     double growth = 0.02;  ///< added for each urgent job that begins late or is refused
     /// Subtracted for each that begins in time. The reserve is steady when 97% of them do.
     double decay = 0.0006;
