Keep prioritized jobs while agents are about to reconnect

Cause: while no target is in use the capacity is 0, so that the overload policy expects every job but the first to wait for ever. After a restart of the entry or a network cut, the next tick refused them, also within target_grace. Queues of one priority wait for the targets in that case.

Change: within target_grace a job is refused only once its answer would no longer be useful.

--- a/libraries/scheduler/job_admission.cc
+++ b/libraries/scheduler/job_admission.cc
@@ -31,8 +31,8 @@
     return refuse("stopping", options_.min_retry_after);
   }
   if (targets_.InUse(now) == 0) {
-    bool expected = no_target_since_.has_value() && now - *no_target_since_ < options_.target_grace;
-    return expected ? std::nullopt : std::optional(refuse("no_target", options_.min_retry_after));
+    return AwaitsTargets(now) ? std::nullopt
+                              : std::optional(refuse("no_target", options_.min_retry_after));
   }
   for (const step& each : candidate.steps) {
     target_table::task_demand demand{.service = candidate.submission.queue.service,
@@ -69,6 +69,11 @@
          now + Scaled(PredictedRunTime(candidate, now), options_.max_run_factor) > *end_;
 }
 
+bool job_scheduler::AwaitsTargets(instant now) const {
+  return targets_.InUse(now) == 0 && no_target_since_.has_value() &&
+         now - *no_target_since_ < options_.target_grace;
+}
+
 bool job_scheduler::CanStartNow(const job& candidate, instant now) const {
   // Tasks returned by an agent wait until the next placement, even where resources are free.
   int64_t tasks = waiting_;
--- a/libraries/scheduler/job_overload.cc
+++ b/libraries/scheduler/job_overload.cc
@@ -117,7 +117,11 @@
 
 void job_scheduler::RefuseHopeless(const std::string& service, instant now) {
   std::vector<planned_job> hopeless;
+  bool awaits_targets = AwaitsTargets(now);
   for (const planned_job& planned : PlanJobs(service, now)) {
+    if (awaits_targets && now <= LastStart(*planned.owner, now)) {
+      continue;  // the capacity is not known until agents reconnect
+    }
     SetDelayed(planned);
     if (planned.verdict == service_class::kRefused) {
       hopeless.push_back(planned);
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -190,6 +190,8 @@
   /// @return time until the work that waits for a service has been placed
   duration Backlog(std::string_view service, instant now) const;
   bool EndsWithEntry(const job& candidate, instant now) const;
+  /// @return whether no target is in use, but agents are expected to reconnect soon
+  bool AwaitsTargets(instant now) const;
   /// @return whether its first tasks could start now in addition to all waiting tasks
   bool CanStartNow(const job& candidate, instant now) const;
   queue_estimate QueueBefore(const job& candidate, instant now) const;
