--- a/tests/load/load_simulation.cc
+++ b/tests/load/load_simulation.cc
@@ -107,6 +107,8 @@
   double work_done = 0;  ///< core-seconds
   bool is_deadly = false;
   bool is_wide = false;
+  bool has_started = false;  ///< a target has started one of its tasks
+  bool is_refused = false;
   std::optional<size_t> connection{};
   bool answered = false;
 };
@@ -170,12 +172,10 @@
 
 operating_plan load_simulation::Plan() const {
   operating_plan plan;
-  std::ranges::transform(settings_.kinds, std::back_inserter(plan.queues),
-                         [](const load_kind& kind) {
-                           return queue_plan{.name = kind.name,
-                                             .service = "lights",
-                                             .priority = kind.priority};
-                         });
+  std::ranges::transform(
+      settings_.kinds, std::back_inserter(plan.queues), [](const load_kind& kind) {
+        return queue_plan{.name = kind.name, .service = "lights", .priority = kind.priority};
+      });
   return plan;
 }
 
@@ -300,7 +300,10 @@
 }
 
 void load_simulation::OnTaskStarted(simulated_agent& agent, const task_ref& task) {
-  if (!callers_.at(task.job)->is_deadly || task.index != 0) {
+  caller& who = *callers_.at(task.job);
+  bool is_first = !std::exchange(who.has_started, true);
+  totals_.started_of_refused += is_first && who.is_refused ? 1 : 0;
+  if (!who.is_deadly || task.index != 0) {
     return;
   }
   time_.After(kCrashDelay, [this, &agent, job = task.job, id = agent.target->Id()] {
@@ -555,6 +558,8 @@
     got.late = 1;
   } else if (answer.outcome == job_outcome::kRefused) {
     got.refused = 1;
+    who.is_refused = true;
+    totals_.started_of_refused += who.has_started ? 1 : 0;
     totals_.refused_after += took;
   } else {
     got.lost = 1;
--- a/tests/load/load_simulation.h
+++ b/tests/load/load_simulation.h
@@ -27,7 +27,8 @@
   double per_second = 1;  ///< submissions by all callers together
   unsigned priority = 0;  ///< of the queue; 0 is the highest
   double deadly = 0;      ///< share of the jobs whose first task crashes each target that starts it
-  /// Share of the jobs with twice as many tasks. Their results count a second time as "NAME (wide)".
+  /// Share of the jobs with twice as many tasks. Their results count a second time as "NAME
+  /// (wide)".
   double wide = 0;
 };
 
@@ -112,6 +113,7 @@
     std::vector<load_result> seconds{};  ///< by the second in which the job was submitted
     double work_done = 0;                ///< core-seconds of completed tasks
     double work_wasted = 0;              ///< part of work_done for jobs that did not complete
+    unsigned started_of_refused = 0;     ///< refused jobs of which a task started, before or after
     duration refused_after{0};           ///< sum over the refused jobs of the time until then
     duration processor_used{0};          ///< by the small entries, out of their share
     std::map<std::string, unsigned> crashes{};  ///< of targets, by the deadly job
