Spread refused callers over whole seconds

Cause: refused callers were told times between the backlog and twice that, at least one second. A backlog is mostly below a second, and the header carries whole seconds, rounded up: nearly all callers were told 2. Without capacity all were told the maximum.

--- a/libraries/scheduler/job_overload.cc
+++ b/libraries/scheduler/job_overload.cc
@@ -155,14 +155,17 @@
 job_answer job_scheduler::RefusalFor(const job& candidate, std::string reason,
                                      duration backlog) const {
   // Callers refused at the same time return one after the other, over as long as the backlog lasts.
-  constexpr size_t kSteps = 1024;
-  size_t step = std::hash<std::string>{}(candidate.submission.id) % kSteps;
-  duration earliest = std::max(backlog, options_.min_retry_after);
-  duration spread = Scaled(earliest, static_cast<double>(step) / kSteps);
+  // They are told whole seconds, so that a spread of less than a second would have no effect.
+  using std::chrono::seconds;
+  duration longest =
+      std::min(2 * std::max(backlog, options_.min_retry_after), options_.max_retry_after);
+  int64_t latest = std::chrono::ceil<seconds>(longest).count();
+  int64_t earliest = std::max<int64_t>(latest / 2, 1);
+  size_t step = std::hash<std::string>{}(candidate.submission.id) %
+                static_cast<size_t>(latest - earliest + 1);
   return {.outcome = job_outcome::kRefused,
           .reason = std::move(reason),
-          .retry_after =
-              std::clamp(earliest + spread, options_.min_retry_after, options_.max_retry_after)};
+          .retry_after = seconds(earliest + static_cast<int64_t>(step))};
 }
 
 void job_scheduler::PlaceByPolicy(instant now) {
