Count delayed and displaced jobs by queue

The events of the overload policy tell the queue in a field of its own, which the entry counts as wagtail_entry_jobs_delayed_total and wagtail_entry_jobs_displaced_total and logs as `queue`. wagtailctl explain knows the reason `displaced`.

--- a/libraries/scheduler/job_overload.cc
+++ b/libraries/scheduler/job_overload.cc
@@ -2,6 +2,7 @@
 #include <iterator>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "scheduler/job_scheduler.h"
@@ -88,12 +89,20 @@
   return planned;
 }
 
+void job_scheduler::LogDecision(std::string_view fact, const planned_job& planned,
+                                std::string detail) const {
+  const job_submission& submission = planned.owner->submission;
+  log_({.fact = fact,
+        .job = submission.id,
+        .queue = submission.queue.name,
+        .detail = "expected wait " + std::to_string(ToMilliseconds(planned.expected_wait)) + " ms" +
+                  std::move(detail)});
+}
+
 void job_scheduler::SetDelayed(const planned_job& planned) {
   bool delayed = planned.verdict == service_class::kDelayed;
   if (delayed && !planned.owner->is_delayed) {
-    LogEvent("job_delayed", planned.owner->submission.id,
-             "queue " + planned.owner->submission.queue.name + ", expected wait " +
-                 std::to_string(ToMilliseconds(planned.expected_wait)) + " ms");
+    LogDecision(kJobDelayed, planned, "");
   }
   planned.owner->is_delayed = delayed;
 }
@@ -134,10 +143,8 @@
     if (!is_new && PlaceLate(owner, now)) {
       continue;
     }
-    LogEvent(is_new ? "job_refused" : "job_displaced", owner.submission.id,
-             "queue " + owner.submission.queue.name + ", expected wait " +
-                 std::to_string(ToMilliseconds(planned.expected_wait)) + " ms, tasks waiting " +
-                 std::to_string(waiting_));
+    LogDecision(is_new ? "job_refused" : kJobDisplaced, planned,
+                ", tasks waiting " + std::to_string(waiting_));
     Answer(std::string(owner.submission.id),
            RefusalFor(owner, is_new ? "overload" : "displaced", backlog));
   }
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -148,7 +148,7 @@
     bool late_on_arrival = false;  ///< no target was fast enough for the objective on arrival
     bool is_accepted = false;      ///< the overload policy has let it wait
     bool is_delayed = false;       ///< others go first, as it is not expected to be in time
-    int waiting = 0;               ///< tasks that wait to be placed
+    int waiting = 0;  ///< tasks that wait to be placed
   };
   struct order_place {
     std::string job;
@@ -230,6 +230,8 @@
   task& TaskAt(job& owner, const order_place& place);
   static bool IsComplete(const job& owner);
   void LogEvent(std::string_view fact, std::string_view job, std::string detail) const;
+  /// Logs a decision of the overload policy.
+  void LogDecision(std::string_view fact, const planned_job& planned, std::string detail) const;
 
   job_scheduler_options options_;
   order_hook order_;
--- a/libraries/scheduler/scheduler_events.h
+++ b/libraries/scheduler/scheduler_events.h
@@ -87,10 +87,15 @@
   peer_build build{};
 };
 
+/// Facts of log events that are counted.
+constexpr std::string_view kJobDelayed = "job_delayed";
+constexpr std::string_view kJobDisplaced = "job_displaced";
+
 /// One log event of job_scheduler.
 struct job_log_event {
   std::string_view fact;
   std::string_view job{};
+  std::string_view queue{};  ///< with events of the overload policy
   std::string detail{};
 };
 
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -131,8 +131,14 @@
           pending_answers_.erase(found);
         }
       },
-      [](const job_log_event& note) {
-        LogFact(log_level::kInfo, note.fact, {{"job", note.job}, {"detail", note.detail}});
+      [this](const job_log_event& note) {
+        overload_metrics_.OnJobEvent(note);
+        if (note.queue.empty()) {
+          LogFact(log_level::kInfo, note.fact, {{"job", note.job}, {"detail", note.detail}});
+        } else {
+          LogFact(log_level::kInfo, note.fact,
+                  {{"job", note.job}, {"queue", note.queue}, {"detail", note.detail}});
+        }
       });
 }
 
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -21,6 +21,7 @@
 #include "services/dispatchd/first_plan_gate.h"
 #include "services/dispatchd/front_filters.h"
 #include "services/dispatchd/load_monitor.h"
+#include "services/dispatchd/overload_metrics.h"
 #include "services/dispatchd/pending_answer.h"
 #include "session/agent_sessions.h"
 #include "snapshot/snapshot_cell.h"
@@ -103,6 +104,7 @@
   event_loop loop_;
   // The following members are used only on the loop's thread.
   load_monitor load_monitor_{metrics_, BootTimeNow()};
+  overload_metrics overload_metrics_{metrics_};
   instant next_tick_{};  ///< when the timer is due next
   newest_plan plan_;
   instant store_answered_{};  ///< when the store last answered about the plan
--- a/utilities/wagtailctl/job_timeline.cc
+++ b/utilities/wagtailctl/job_timeline.cc
@@ -26,10 +26,14 @@
   std::string_view remedy;
 };
 
-constexpr std::array<explanation, 11> kExplanations = {{
+constexpr std::array<explanation, 12> kExplanations = {{
     {"overload", "the work due before it would have taken longer than its objective allows",
      "a burst, or too little capacity: see job_refused for the expected wait; the answer told the "
      "caller when to retry"},
+    {"displaced", "jobs of other queues went before it until its answer would have come too late",
+     "a burst, or too little capacity: see job_delayed and job_displaced for the expected waits; "
+     "the "
+     "answer told the caller when to retry"},
     {"objective_out_of_reach", "no target had free resources before its latest start",
      "a burst, or too little capacity: look for lost agents and departed targets"},
     {"too_old", "it waited for the entry's event loop until its objective was out of reach",
