Report a job as delayed once

Cause: a job that is delayed, then expected in time and delayed again was reported each time, while docs/OVERLOAD.md asks for one event for each job, and jobs are counted by these events.

Before: TEST(JobOverload, AJobIsReportedAsDelayedOnce) saw 2 events. After: 1; scheduler_test, 99 tests, no failure.

--- a/libraries/scheduler/job_overload.cc
+++ b/libraries/scheduler/job_overload.cc
@@ -101,7 +101,7 @@
 
 void job_scheduler::SetDelayed(const planned_job& planned) {
   bool delayed = planned.verdict == service_class::kDelayed;
-  if (delayed && !planned.owner->is_delayed) {
+  if (delayed && !std::exchange(planned.owner->is_delay_reported, true)) {
     LogDecision(kJobDelayed, planned, "");
   }
   planned.owner->is_delayed = delayed;
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -148,6 +148,7 @@
     bool late_on_arrival = false;  ///< no target was fast enough for the objective on arrival
     bool is_accepted = false;      ///< the overload policy has let it wait
     bool is_delayed = false;       ///< others go first, as it is not expected to be in time
+    bool is_delay_reported = false;
     int waiting = 0;  ///< tasks that wait to be placed
   };
   struct order_place {
--- a/tests/scheduler/job_overload_test.cc
+++ b/tests/scheduler/job_overload_test.cc
@@ -261,6 +261,19 @@
   }
 }
 
+// Jobs are counted by these events: one that is delayed, then expected in time and delayed again is
+// still one job.
+TEST(JobOverload, AJobIsReportedAsDelayedOnce) {
+  DelayJobs(2);
+  CHECK_EQUAL(1, entry.events["job_delayed"].count("2-101"));
+  entry.scheduler.CallerGone(100);
+  entry.scheduler.Tick(entry.now);  // nothing is before it any more
+  entry.Submit(200, 0, "high");
+  entry.Submit(201, 0, "higher");
+  entry.scheduler.Tick(entry.now);
+  CHECK_EQUAL(1, entry.events["job_delayed"].count("2-101"));
+}
+
 // Metrics count by queue.
 TEST(JobOverload, DecisionsTellTheQueue) {
   DelayJobs(25);
