Let random jobs of the policy's tests tie

Cause: with latest starts in steps of one millisecond few random jobs were equal, and TheOrderOfTheInputDoesNotMatter passed without the id as the last criterion of the order by latest start. Change: coarser latest starts, arrivals, work and served shares. Measured: the test now fails without that id; scheduler_test, 99 tests, no failure. The id in the order of those who give way is not needed for this, as they are compared in order of latest start.

--- a/tests/scheduler/overload_policy_test.cc
+++ b/tests/scheduler/overload_policy_test.cc
@@ -65,7 +65,8 @@
           .refused = IdsOf(jobs, decisions, service_class::kRefused)};
 }
 
-/// Random jobs in overload; some are late already, have begun or were accepted.
+/// Random jobs in overload, many with equal latest starts; some are late already, have begun or
+/// were accepted.
 struct random_jobs {
   std::vector<std::string> ids;
   std::vector<waiting_job> jobs;
@@ -79,12 +80,12 @@
     made.ids.push_back("job-" + std::to_string(number));
   }
   for (const std::string& id : made.ids) {
-    waiting_job job =
-        Job(id, *rc::gen::inRange(0U, 4U), *rc::gen::inRange(-50, 400), *rc::gen::inRange(0, 60));
-    job.arrived = kNow - Ms(*rc::gen::inRange(0, 4));
+    waiting_job job = Job(id, *rc::gen::inRange(0U, 4U), 25 * *rc::gen::inRange(-2, 16),
+                          *rc::gen::inRange(0, 60));
+    job.arrived = kNow - Ms(*rc::gen::inRange(0, 2));
     job.last_start = job.latest_start + Ms(*rc::gen::inRange(0, 600));
-    job.queue_work = *rc::gen::inRange(0, 4) * kWorkPerMs;
-    job.queue_served = *rc::gen::inRange(0, 5) / 4.0;
+    job.queue_work = *rc::gen::inRange(0, 2) * kWorkPerMs;
+    job.queue_served = *rc::gen::inRange(0, 3) / 2.0;
     job.begun = *rc::gen::inRange(0, 6) == 0;
     job.accepted = job.begun || *rc::gen::inRange(0, 2) == 0;
     made.jobs.push_back(job);
