--- a/libraries/scheduler/job_admission.cc
+++ b/libraries/scheduler/job_admission.cc
@@ -31,8 +31,8 @@
     return refuse("stopping", options_.min_retry_after);
   }
   if (targets_.InUse(now) == 0) {
-    bool expected = no_target_since_.has_value() && now - *no_target_since_ < options_.target_grace;
-    return expected ? std::nullopt : std::optional(refuse("no_target", options_.min_retry_after));
+    return AwaitsTargets(now) ? std::nullopt
+                              : std::optional(refuse("no_target", options_.min_retry_after));
   }
   for (const step& each : candidate.steps) {
     target_table::task_demand demand{.service = candidate.submission.queue.service,
@@ -69,9 +69,14 @@
          now + Scaled(PredictedRunTime(candidate, now), options_.max_run_factor) > *end_;
 }
 
+bool job_scheduler::AwaitsTargets(instant now) const {
+  return targets_.InUse(now) == 0 && no_target_since_.has_value() &&
+         now - *no_target_since_ < options_.target_grace;
+}
+
 bool job_scheduler::CanStartNow(const job& candidate, instant now) const {
   // Tasks returned by an agent wait until the next placement, even where resources are free.
-  int64_t tasks = IsUrgent(candidate) ? urgent_waiting_ : waiting_;
+  int64_t tasks = waiting_;
   int64_t startable = std::numeric_limits<int64_t>::max();
   for (const step& each : candidate.steps) {
     if (!each.spec.after.empty()) {
@@ -81,7 +86,9 @@
     target_table::task_demand demand{.service = candidate.submission.queue.service,
                                      .resources = each.spec.resources,
                                      .estimate = each.spec.estimate};
-    demand.reserved_share = ReservedShare(candidate);
+    if (LeavesReserve(candidate)) {
+      demand.reserved_share = options_.reserved_share;
+    }
     startable = std::min(startable, targets_.StartableTasks(demand, now));
   }
   return tasks <= startable;
@@ -140,9 +147,7 @@
   if (start >= now || !(candidate.late_on_arrival || HasBegun(candidate))) {
     return candidate.objective;
   }
-  duration span = candidate.objective - candidate.arrived;
-  return std::min(candidate.arrived + Scaled(span, options_.late_objective_factor),
-                  candidate.deadline);
+  return UsefulUntil(candidate);
 }
 
 instant job_scheduler::LatestStart(const job& candidate, instant now) const {
--- a/libraries/scheduler/job_overload.cc
+++ b/libraries/scheduler/job_overload.cc
@@ -2,6 +2,7 @@
 #include <iterator>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "scheduler/job_scheduler.h"
@@ -17,13 +18,11 @@
   for (const queue_plan& queue : plan.queues) {
     priorities[queue.service].insert(queue.priority);
   }
-  std::erase_if(priorities, [](const auto& service) { return service.second.size() < 2; });
-  std::erase_if(prioritized_services_,
-                [&](const auto& service) { return !priorities.contains(service.first); });
+  prioritized_services_.clear();
   for (const auto& [service, levels] : priorities) {
-    auto known = prioritized_services_.try_emplace(
-        service, prioritized_service{.reserve = priority_reserve(options_.reserve)});
-    known.first->second.highest = *levels.begin();
+    if (levels.size() > 1) {
+      prioritized_services_.emplace(service, *levels.begin());
+    }
   }
 }
 
@@ -31,40 +30,29 @@
   return prioritized_services_.contains(candidate.submission.queue.service);
 }
 
-bool job_scheduler::IsUrgent(const job& owner) const {
+bool job_scheduler::LeavesReserve(const job& owner) const {
   auto service = prioritized_services_.find(owner.submission.queue.service);
   return service != prioritized_services_.end() &&
-         owner.submission.queue.priority == service->second.highest;
-}
-
-double job_scheduler::ReservedShare(const job& owner) const {
-  auto service = prioritized_services_.find(owner.submission.queue.service);
-  bool may_use_all = service == prioritized_services_.end() || HasBegun(owner) ||
-                     owner.submission.queue.priority == service->second.highest;
-  if (may_use_all) {
-    return 0;
-  }
-  double urgent = service->second.reserve.share();
-  return owner.is_delayed ? std::max(urgent, options_.delayed_reserve) : urgent;
+         owner.submission.queue.priority > service->second && !HasBegun(owner);
 }
 
-void job_scheduler::OnUrgentJob(const job& owner, bool in_time) {
-  auto service = prioritized_services_.find(owner.submission.queue.service);
-  if (owner.is_urgent && service != prioritized_services_.end()) {
-    service->second.reserve.OnBegun(in_time);
-  }
+instant job_scheduler::UsefulUntil(const job& candidate) const {
+  duration span = candidate.objective - candidate.arrived;
+  return std::min(candidate.arrived + Scaled(span, options_.late_objective_factor),
+                  candidate.deadline);
 }
 
 instant job_scheduler::LastStart(const job& owner, instant now) const {
-  duration run = Scaled(PredictedRunTime(owner, now), options_.max_run_factor);
-  return std::max(owner.deadline - run - options_.round_trip, LatestStart(owner, now));
+  duration run = PredictedRunTime(owner, now);
+  instant end = std::min(UsefulUntil(owner) - Scaled(run, options_.late_run_factor),
+                         owner.deadline - Scaled(run, options_.max_run_factor));
+  return std::max(end - options_.round_trip, LatestStart(owner, now));
 }
 
 waiting_job job_scheduler::WaitingJob(const job& owner, instant now) const {
   queue_history::queue_means queue = history_.MeansOf(owner.submission.queue.name);
-  unsigned highest = prioritized_services_.at(owner.submission.queue.service).highest;
   return {.id = owner.submission.id,
-          .priority = owner.submission.queue.priority - highest,
+          .priority = owner.submission.queue.priority,
           .arrived = owner.arrived,
           .latest_start = LatestStart(owner, now),
           .last_start = LastStart(owner, now),
@@ -72,7 +60,6 @@
           .queue_work = queue.work,
           .queue_served = queue.served,
           .accepted = owner.is_accepted,
-          .delayed = owner.is_delayed,
           .begun = HasBegun(owner)};
 }
 
@@ -102,12 +89,20 @@
   return planned;
 }
 
+void job_scheduler::LogDecision(std::string_view fact, const planned_job& planned,
+                                std::string detail) const {
+  const job_submission& submission = planned.owner->submission;
+  log_({.fact = fact,
+        .job = submission.id,
+        .queue = submission.queue.name,
+        .detail = "expected wait " + std::to_string(ToMilliseconds(planned.expected_wait)) + " ms" +
+                  std::move(detail)});
+}
+
 void job_scheduler::SetDelayed(const planned_job& planned) {
   bool delayed = planned.verdict == service_class::kDelayed;
-  if (delayed && !planned.owner->is_delayed) {
-    LogEvent("job_delayed", planned.owner->submission.id,
-             "queue " + planned.owner->submission.queue.name + ", expected wait " +
-                 std::to_string(ToMilliseconds(planned.expected_wait)) + " ms");
+  if (delayed && !std::exchange(planned.owner->is_delay_reported, true)) {
+    LogDecision(kJobDelayed, planned, "");
   }
   planned.owner->is_delayed = delayed;
 }
@@ -131,7 +126,11 @@
 
 void job_scheduler::RefuseHopeless(const std::string& service, instant now) {
   std::vector<planned_job> hopeless;
+  bool awaits_targets = AwaitsTargets(now);
   for (const planned_job& planned : PlanJobs(service, now)) {
+    if (awaits_targets && now <= LastStart(*planned.owner, now)) {
+      continue;  // the capacity is not known until agents reconnect
+    }
     SetDelayed(planned);
     if (planned.verdict == service_class::kRefused) {
       hopeless.push_back(planned);
@@ -144,11 +143,8 @@
     if (!is_new && PlaceLate(owner, now)) {
       continue;
     }
-    LogEvent(is_new ? "job_refused" : "job_displaced", owner.submission.id,
-             "queue " + owner.submission.queue.name + ", expected wait " +
-                 std::to_string(ToMilliseconds(planned.expected_wait)) + " ms, tasks waiting " +
-                 std::to_string(waiting_));
-    OnUrgentJob(owner, false);
+    LogDecision(is_new ? "job_refused" : kJobDisplaced, planned,
+                ", tasks waiting " + std::to_string(waiting_));
     Answer(std::string(owner.submission.id),
            RefusalFor(owner, is_new ? "overload" : "displaced", backlog));
   }
@@ -166,14 +162,17 @@
 job_answer job_scheduler::RefusalFor(const job& candidate, std::string reason,
                                      duration backlog) const {
   // Callers refused at the same time return one after the other, over as long as the backlog lasts.
-  constexpr size_t kSteps = 1024;
-  size_t step = std::hash<std::string>{}(candidate.submission.id) % kSteps;
-  duration earliest = std::max(backlog, options_.min_retry_after);
-  duration spread = Scaled(earliest, static_cast<double>(step) / kSteps);
+  // They are told whole seconds, so that a spread of less than a second would have no effect.
+  using std::chrono::seconds;
+  duration longest =
+      std::min(2 * std::max(backlog, options_.min_retry_after), options_.max_retry_after);
+  int64_t latest = std::chrono::ceil<seconds>(longest).count();
+  int64_t earliest = std::max<int64_t>(latest / 2, 1);
+  size_t step = std::hash<std::string>{}(candidate.submission.id) %
+                static_cast<size_t>(latest - earliest + 1);
   return {.outcome = job_outcome::kRefused,
           .reason = std::move(reason),
-          .retry_after =
-              std::clamp(earliest + spread, options_.min_retry_after, options_.max_retry_after)};
+          .retry_after = seconds(earliest + static_cast<int64_t>(step))};
 }
 
 void job_scheduler::PlaceByPolicy(instant now) {
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -13,7 +13,6 @@
 #include "base/time.h"
 #include "scheduler/crash_ledger.h"
 #include "scheduler/overload_policy.h"
-#include "scheduler/priority_reserve.h"
 #include "scheduler/queue_history.h"
 #include "scheduler/scheduler_events.h"
 #include "scheduler/target_table.h"
@@ -57,13 +56,15 @@
   /// Decides about the jobs of services whose queues differ in priority, while targets are full.
   overload_policy overload = MakeOverloadPolicy({});
   queue_history::options history{};
+  /// A delayed job starts while its answer is expected to be useful if its tasks take this multiple
+  /// of their predicted run time.
+  double late_run_factor = 1.5;
   /// Smallest part of the capacity that delayed jobs are expected to get: bursts last for seconds,
   /// and the rate of arrivals is a mean over the last one.
-  double min_spare_share = 0.02;
-  priority_reserve::options reserve{};
-  /// Part of each target that delayed jobs leave free for those that can be in time: a job that is
-  /// late already should not make others late.
-  double delayed_reserve = 0.3;
+  double min_spare_share = 0.25;
+  /// Part of each target that is left to the jobs of the highest priority, where queues differ in
+  /// priority: entries do not see each other's queues, and whichever is first takes what is free.
+  double reserved_share = 0.12;
 };
 
 /// Schedules the jobs of one entry: admits or refuses them, sends their tasks to targets' agents in
@@ -145,10 +146,10 @@
     duration critical_path{0};     ///< estimates along the longest chain of unfinished steps
     bool started = false;          ///< a target may have run one of its tasks
     bool late_on_arrival = false;  ///< no target was fast enough for the objective on arrival
-    bool is_urgent = false;        ///< of the highest priority when it arrived
     bool is_accepted = false;      ///< the overload policy has let it wait
     bool is_delayed = false;       ///< others go first, as it is not expected to be in time
-    int waiting = 0;               ///< tasks that wait to be placed
+    bool is_delay_reported = false;
+    int waiting = 0;  ///< tasks that wait to be placed
   };
   struct order_place {
     std::string job;
@@ -190,6 +191,8 @@
   /// @return time until the work that waits for a service has been placed
   duration Backlog(std::string_view service, instant now) const;
   bool EndsWithEntry(const job& candidate, instant now) const;
+  /// @return whether no target is in use, but agents are expected to reconnect soon
+  bool AwaitsTargets(instant now) const;
   /// @return whether its first tasks could start now in addition to all waiting tasks
   bool CanStartNow(const job& candidate, instant now) const;
   queue_estimate QueueBefore(const job& candidate, instant now) const;
@@ -202,15 +205,13 @@
   ///   its deadline behind all jobs that can be in time.
   instant DueTime(const job& candidate, instant now) const;
   instant LatestStart(const job& candidate, instant now) const;
-  /// @return latest start of a job that may be late, but is answered before its caller's deadline
+  /// @return until when an answer is useful: a late one up to a multiple of the objective
+  instant UsefulUntil(const job& candidate) const;
+  /// @return latest start of a job that is late, but still useful and answered before its deadline
   instant LastStart(const job& owner, instant now) const;
-  /// @return whether its queue has the highest priority of a service with several
-  bool IsUrgent(const job& owner) const;
-  /// @return part of each target that its tasks leave free for other jobs
-  double ReservedShare(const job& owner) const;
-  /// Lets the reserve for urgent jobs follow how they fare.
-  /// @param in_time whether its first tasks have been ordered by its latest start
-  void OnUrgentJob(const job& owner, bool in_time);
+  /// @return whether its tasks leave the part of each target that is reserved for jobs of the
+  ///   highest priority
+  bool LeavesReserve(const job& owner) const;
   static bool HasBegun(const job& owner);
   void UnblockSteps(job& owner);
   /// Places the jobs of services that the overload policy decides about.
@@ -230,6 +231,8 @@
   task& TaskAt(job& owner, const order_place& place);
   static bool IsComplete(const job& owner);
   void LogEvent(std::string_view fact, std::string_view job, std::string detail) const;
+  /// Logs a decision of the overload policy.
+  void LogDecision(std::string_view fact, const planned_job& planned, std::string detail) const;
 
   job_scheduler_options options_;
   order_hook order_;
@@ -239,19 +242,14 @@
   target_table targets_;
   crash_ledger crashes_;
   queue_history history_;
-  /// A service that has queues of several priorities.
-  struct prioritized_service {
-    unsigned highest = 0;  ///< the priority that is served first
-    priority_reserve reserve;
-  };
-  std::map<std::string, prioritized_service, std::less<>> prioritized_services_;
+  /// Highest priority of each service that has queues of several priorities.
+  std::map<std::string, unsigned, std::less<>> prioritized_services_;
   std::map<std::string, unsigned> suspects_at_;  ///< suspected tasks placed, by agent
   job_map jobs_;
   std::unordered_map<request_serial, std::string> requests_;
   std::unordered_map<uint64_t, order_place> orders_;
   uint64_t next_order_ = 1;
   int waiting_ = 0;             ///< tasks of all jobs that wait to be placed
-  int urgent_waiting_ = 0;      ///< part of waiting_ that belongs to urgent jobs
   int unsettled_ = 0;           ///< tasks of all jobs that may still run on a lost agent
   std::optional<instant> end_;  ///< when the draining entry ends
   std::optional<instant> no_target_since_;  ///< empty while some target is in use
--- a/tests/load/load_simulation.h
+++ b/tests/load/load_simulation.h
@@ -113,6 +113,7 @@
     std::vector<load_result> seconds{};  ///< by the second in which the job was submitted
     double work_done = 0;                ///< core-seconds of completed tasks
     double work_wasted = 0;              ///< part of work_done for jobs that did not complete
+    unsigned started_of_refused = 0;     ///< refused jobs of which a task started, before or after
     duration refused_after{0};           ///< sum over the refused jobs of the time until then
     duration processor_used{0};          ///< by the small entries, out of their share
     std::map<std::string, unsigned> crashes{};  ///< of targets, by the deadly job
