--- a/libraries/scheduler/job_admission.cc
+++ b/libraries/scheduler/job_admission.cc
@@ -98,6 +98,14 @@
   return work;
 }
 
+double job_scheduler::waiting_work() const {
+  double work = 0;
+  for (const auto& [id, owner] : jobs_) {
+    work += owner.waiting > 0 ? WaitingWork(owner) : 0;
+  }
+  return work;
+}
+
 job_scheduler::queue_estimate job_scheduler::QueueBefore(const job& candidate, instant now) const {
   instant own_start = LatestStart(candidate, now);
   queue_estimate found{.wait = options_.max_retry_after, .slack = own_start - now};
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -116,6 +116,8 @@
   size_t jobs() const { return jobs_.size(); }
   bool HasJob(const std::string& job) const { return jobs_.contains(job); }
   size_t targets_in_use(instant now) const { return targets_.InUse(now); }
+  /// @return work of all waiting tasks, in thousandths of a core times microseconds
+  double waiting_work() const;
   size_t waiting_tasks() const { return static_cast<size_t>(waiting_); }
 
  private:
