--- a/tests/load/load_simulation.cc
+++ b/tests/load/load_simulation.cc
@@ -82,6 +82,7 @@
   instant idle_from{};          ///< when its processor has completed all queued work
   unsigned number = 0;
   unsigned sessions = 0;
+  std::optional<unsigned> urgency{};  ///< as last told to agents
   work_rate offered{kOfferedWindow};  ///< work of the jobs that arrived
 };
 
@@ -92,6 +93,11 @@
   std::unique_ptr<fake_leased_target> target;
   std::vector<session*> sessions;
   std::optional<demand_shares> shares;
+  struct freed_resources {
+    instant at;
+    int64_t cpu = 0;
+  };
+  std::vector<freed_resources> freed;  ///< by runs that ended during the last `hold_freed`
   bool results_due = false;
 };
 
@@ -104,6 +110,8 @@
   std::vector<run_result> results;
   target_status reported_load;
   instant last_report{};
+  std::optional<unsigned> urgency{};  ///< highest priority that waits at the entry, as told
+  int64_t held = 0;                   ///< kept from the entry in the last report
 };
 
 struct load_simulation::caller {
@@ -248,6 +256,7 @@
 
 void load_simulation::Place(simulated_entry& entry) {
   entry.scheduler->Place(time_.now());
+  TellUrgency(entry);
   for (order_batch& batch : std::exchange(entry.orders, {})) {
     session& to = *sessions_.at(batch.session);
     duration sending = Spend(entry, settings_.costs.order) - time_.now();
@@ -307,6 +316,9 @@
                 {.task = result.task, .suspected = result.crash == crash_role::kSuspect});
           }
         }
+        if (settings_.hold_freed > duration::zero()) {
+          agent.freed.push_back({time_.now(), callers_.at(result.task.job)->kind->cpu});
+        }
         auto to = std::ranges::find(agent.sessions, result.session, &session::id);
         (*to)->results.push_back(result);
         if (!std::exchange(agent.results_due, true)) {
@@ -384,7 +396,11 @@
     auto moved = static_cast<double>(std::abs(load.free.cpu - each->reported_load.free.cpu));
     bool changed = load.state != each->reported_load.state ||
                    moved > kReportedLoadChange * static_cast<double>(settings_.target_cpu);
-    if (!each->results.empty() || !each->crashes.empty() || since >= kMaxReportInterval ||
+    bool told_first = settings_.hold_freed > duration::zero() && !agent.freed.empty() &&
+                      agent.freed.back().at > each->last_report && IsMostUrgent(*each);
+    bool released = each->held > 0 && HeldFrom(*each) == 0;
+    if (told_first || released || !each->results.empty() || !each->crashes.empty() ||
+        since >= kMaxReportInterval ||
         (changed && since >= kMinReportInterval)) {
       SendReport(*each);
     }
@@ -393,9 +409,13 @@
 
 void load_simulation::SendReport(session& from) {
   instant sent = time_.now();
+  ++totals_.reports;
   from.last_report = sent;
   from.reported_load = from.agent->controller->Load();
-  session_report report{.load = from.reported_load,
+  target_status told = from.reported_load;
+  from.held = HeldFrom(from);
+  told.free.cpu -= std::clamp<int64_t>(from.held, 0, std::max<int64_t>(told.free.cpu, 0));
+  session_report report{.load = told,
                         .entries = static_cast<unsigned>(from.agent->sessions.size()),
                         .share = ReportedShare(from),
                         .orders_seen = from.orders_seen,
@@ -416,6 +436,49 @@
   });
 }
 
+bool load_simulation::IsMostUrgent(const session& candidate) const {
+  return candidate.urgency.has_value() &&
+         std::ranges::none_of(candidate.agent->sessions, [&](const session* other) {
+           return other->urgency.has_value() && *other->urgency < *candidate.urgency;
+         });
+}
+
+int64_t load_simulation::HeldFrom(const session& other) {
+  if (settings_.hold_freed == duration::zero()) {
+    return 0;
+  }
+  bool gives_way = std::ranges::any_of(other.agent->sessions, [&](const session* each) {
+    return each->urgency.has_value() &&
+           (!other.urgency.has_value() || *each->urgency < *other.urgency);
+  });
+  std::vector<simulated_agent::freed_resources>& freed = other.agent->freed;
+  std::erase_if(freed, [&](const auto& item) {
+    return time_.now() - item.at > settings_.hold_freed;
+  });
+  int64_t held = 0;
+  for (const auto& item : freed) {
+    held += gives_way ? item.cpu : 0;
+  }
+  return held;
+}
+
+void load_simulation::TellUrgency(simulated_entry& entry) {
+  std::optional<unsigned> urgency = entry.scheduler->most_urgent_waiting();
+  if (settings_.hold_freed == duration::zero() || !settings_.tell_urgency_at_once ||
+      urgency == entry.urgency) {
+    return;
+  }
+  entry.urgency = urgency;
+  time_.After(kNetworkDelay, [this, &entry, urgency] {
+    for (auto& [id, each] : sessions_) {
+      if (each->entry == &entry) {
+        each->urgency = urgency;
+        SendDueReports(*each->agent);
+      }
+    }
+  });
+}
+
 unsigned load_simulation::ReportedShare(const session& to) {
   return settings_.shares == share_model::kEqual ? 0
                                                  : to.agent->shares->ShareOf(to.id, time_.now());
@@ -424,6 +487,7 @@
 void load_simulation::OnReportAnswered(session& from, instant sent) {
   from.agent->controller->OnReportAnswered(from.id, sent);
   const simulated_entry& entry = *from.entry;
+  from.urgency = entry.scheduler->most_urgent_waiting();
   if (settings_.shares == share_model::kOrdersWaiting) {
     from.agent->shares->SetAsked(
         from.id, entry.scheduler->waiting_work() / ToSeconds(kOfferedWindow) / 1e6 / entry.sessions,
--- a/tests/load/load_simulation.h
+++ b/tests/load/load_simulation.h
@@ -96,6 +96,11 @@
     entry_rotation::options rotation{};
     share_model shares = share_model::kEqual;
     demand_shares::options share_options{};
+    /// How long an agent keeps freed resources from entries while others that share the target have
+    /// waiting jobs of a higher priority. 0: not at all.
+    duration hold_freed{0};
+    /// Entries tell a change of the most urgent waiting priority at once, not only in replies.
+    bool tell_urgency_at_once = false;
     unsigned slow_every = 4;   ///< every n-th target is slow
     double slow_factor = 2;    ///< run time on a slow target, relative to the nominal one
     double normal_factor = 1;  ///< run time on the other targets
@@ -121,6 +126,7 @@
   };
   struct totals {
     std::map<std::string, load_result> kinds{};
+    uint64_t reports = 0;                ///< sent by agents
     std::vector<load_result> entries{};  ///< by the entry that received the job
     /// Refused while the entry's targets had resources for all tasks of the job, beside the
     /// reserve.
@@ -161,6 +167,10 @@
   void Deliver(session& to, const order_batch& batch);
   void SendDueReports(simulated_agent& agent);
   void SendReport(session& from);
+  /// @return resources that the agent keeps from this session's entry for more urgent jobs
+  int64_t HeldFrom(const session& other);
+  bool IsMostUrgent(const session& candidate) const;
+  void TellUrgency(simulated_entry& entry);
   unsigned ReportedShare(const session& to);
   void OnReportAnswered(session& from, instant sent);
   /// @return whether its entry's targets could start all tasks of the job at once
--- a/tests/load/share_comparison.cc
+++ b/tests/load/share_comparison.cc
@@ -120,10 +120,22 @@
 
 /// Plays all seeds and prints a row.
 /// @param base results to compare with; filled by the first call
+/// Reads a model's name, which may be followed by "+HOLD" or "+HOLDnow": the milliseconds for which
+/// freed resources are held for more urgent entries, told in replies or at once.
+void SetModel(load_simulation::settings& settings, const share_setting& shares) {
+  size_t plus = shares.model.find('+');
+  settings.shares = ModelNamed(shares.model.substr(0, plus));
+  settings.share_options.equal_part = shares.equal_part;
+  if (plus != std::string::npos) {
+    settings.hold_freed = Ms(std::stoi(shares.model.substr(plus + 1)));
+    settings.tell_urgency_at_once = shares.model.ends_with("now");
+  }
+}
+
 void Play(load_simulation::settings settings, const share_setting& shares, unsigned seeds,
           seed_results& base) {
-  settings.shares = ModelNamed(shares.model);
-  settings.share_options.equal_part = shares.equal_part;
+  SetModel(settings, shares);
+  uint64_t reports = 0;
   std::map<std::string, load_result> kinds;
   seed_results results;
   load_result heavy;
@@ -134,6 +146,7 @@
     const load_simulation::totals& totals = simulation.Run();
     results.in_time.push_back(totals.Sum().InTimeShare());
     results.served.push_back(totals.Sum().ServedShare());
+    reports += totals.reports;
     refused_with_free += totals.refused_with_free;
     for (const auto& [name, result] : totals.kinds) {
       kinds[name] += result;
@@ -160,7 +173,8 @@
     std::printf(" %.3f %.3f %.3f |", kind.InTimeShare(), kind.ServedShare(),
                 Share(kind.refused, kind));
   }
-  std::printf(" %.3f %.3f |\n", heavy.InTimeShare(), others.InTimeShare());
+  std::printf(" %.3f %.3f | %.0f |\n", heavy.InTimeShare(), others.InTimeShare(),
+              static_cast<double>(reports) / seeds);
   std::fflush(stdout);
 }
 
@@ -195,7 +209,7 @@
   std::puts(
       "| shares, equal part | in time (seeds) | to the first row | served | to the first row | "
       "refused | refused with free targets | "
-      "p0: in time, served, refused | p1 | p2 | in time: heavy entries, others |");
+      "p0: in time, served, refused | p1 | p2 | in time: heavy entries, others | reports |");
   wagtail::leased::seed_results base;
   for (size_t index = kFixed; index < words.size(); index += 2) {
     wagtail::leased::Play(settings, {words[index], std::stod(words[index + 1])},
