--- a/tests/load/load_simulation.cc
+++ b/tests/load/load_simulation.cc
@@ -396,7 +396,8 @@
     auto moved = static_cast<double>(std::abs(load.free.cpu - each->reported_load.free.cpu));
     bool changed = load.state != each->reported_load.state ||
                    moved > kReportedLoadChange * static_cast<double>(settings_.target_cpu);
-    bool told_first = settings_.hold_freed > duration::zero() && !agent.freed.empty() &&
+    bool told_first = settings_.urgent_reports && since >= settings_.urgent_report_interval &&
+                      settings_.hold_freed > duration::zero() && !agent.freed.empty() &&
                       agent.freed.back().at > each->last_report && IsMostUrgent(*each);
     bool released = each->held > 0 && HeldFrom(*each) == 0;
     if (told_first || released || !each->results.empty() || !each->crashes.empty() ||
--- a/tests/load/load_simulation.h
+++ b/tests/load/load_simulation.h
@@ -101,6 +101,9 @@
     duration hold_freed{0};
     /// Entries tell a change of the most urgent waiting priority at once, not only in replies.
     bool tell_urgency_at_once = false;
+    /// Shortest interval of reports that only tell the most urgent entries of freed resources.
+    duration urgent_report_interval{0};
+    bool urgent_reports = true;  ///< whether to send such reports
     unsigned slow_every = 4;   ///< every n-th target is slow
     double slow_factor = 2;    ///< run time on a slow target, relative to the nominal one
     double normal_factor = 1;  ///< run time on the other targets
--- a/tests/load/share_comparison.cc
+++ b/tests/load/share_comparison.cc
@@ -128,7 +128,12 @@
   settings.share_options.equal_part = shares.equal_part;
   if (plus != std::string::npos) {
     settings.hold_freed = Ms(std::stoi(shares.model.substr(plus + 1)));
-    settings.tell_urgency_at_once = shares.model.ends_with("now");
+    settings.tell_urgency_at_once = shares.model.find("now") != std::string::npos;
+    size_t interval = shares.model.find('/');
+    settings.urgent_reports = shares.model.find('-') == std::string::npos;
+    settings.urgent_report_interval =
+        interval == std::string::npos ? duration::zero()
+                                      : Ms(std::stoi(shares.model.substr(interval + 1)));
   }
 }
 
