--- a/libraries/scheduler/job_admission.cc
+++ b/libraries/scheduler/job_admission.cc
@@ -98,25 +98,6 @@
   return work;
 }
 
-double job_scheduler::waiting_work() const {
-  double work = 0;
-  for (const auto& [id, owner] : jobs_) {
-    work += owner.waiting > 0 ? WaitingWork(owner) : 0;
-  }
-  return work;
-}
-
-std::optional<unsigned> job_scheduler::most_urgent_waiting() const {
-  std::optional<unsigned> highest;
-  for (const auto& [id, owner] : jobs_) {
-    if (owner.waiting > 0) {
-      highest = std::min(highest.value_or(owner.submission.queue.priority),
-                         owner.submission.queue.priority);
-    }
-  }
-  return highest;
-}
-
 job_scheduler::queue_estimate job_scheduler::QueueBefore(const job& candidate, instant now) const {
   instant own_start = LatestStart(candidate, now);
   queue_estimate found{.wait = options_.max_retry_after, .slack = own_start - now};
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -116,10 +116,6 @@
   size_t jobs() const { return jobs_.size(); }
   bool HasJob(const std::string& job) const { return jobs_.contains(job); }
   size_t targets_in_use(instant now) const { return targets_.InUse(now); }
-  /// @return work of all waiting tasks, in thousandths of a core times microseconds
-  double waiting_work() const;
-  /// @return highest priority of the jobs with waiting tasks
-  std::optional<unsigned> most_urgent_waiting() const;
   size_t waiting_tasks() const { return static_cast<size_t>(waiting_); }
 
  private:
--- a/libraries/scheduler/scheduler_events.h
+++ b/libraries/scheduler/scheduler_events.h
@@ -74,10 +74,7 @@
 /// A report from an agent: the load of its target and the state of the session.
 struct session_report {
   target_status load{};
-  unsigned entries = 1;  ///< number of entries that share the target
-  /// Permille of the target's capacity that this entry may count on while the target is full;
-  /// 0 if the agent did not say, which means an equal share.
-  unsigned share = 0;
+  unsigned entries = 1;      ///< number of entries that share the target
   uint64_t orders_seen = 0;  ///< highest order number of this session included in the load
   bool settled = false;      ///< no run from earlier sessions can still be active there
 };
--- a/libraries/scheduler/target_table.cc
+++ b/libraries/scheduler/target_table.cc
@@ -183,23 +183,18 @@
   return tasks;
 }
 
-double target_table::ShareOf(const session_report& report) {
-  constexpr double kPermille = 1000;
-  return report.share > 0 ? std::min(report.share / kPermille, 1.0)
-                          : 1.0 / std::max(1U, report.entries);
-}
-
 double target_table::CapacityShare(std::string_view service, instant now) const {
   task_demand any{.service = service, .resources = {}, .estimate = {}};
-  double total = 0;
+  double equal_part = 0;
   for (const auto& [session, target] : rows_) {
     if (!IsUsable(target, any, now)) {
       continue;
     }
     const target_status& load = target.report.load;
-    total += ShareOf(target.report) * static_cast<double>(load.capacity.cpu) / load.slowness;
+    equal_part += static_cast<double>(load.capacity.cpu) / load.slowness /
+                  std::max(1U, target.report.entries);
   }
-  return total;
+  return equal_part;
 }
 
 std::vector<session_id> target_table::Unresponsive(duration limit, instant now) const {
--- a/libraries/scheduler/target_table.h
+++ b/libraries/scheduler/target_table.h
@@ -72,8 +72,8 @@
   /// @return how many tasks of this size could start now
   int64_t StartableTasks(const task_demand& demand, instant now) const;
 
-  /// This entry's share of the service's targets in use while they are full: the part that each
-  /// agent reports, or an equal one for each entry that shares the target.
+  /// This entry's share of the service's targets in use while they are full: an equal part for each
+  /// entry that shares them.
   /// @return processor capacity in thousandths of a core of nominal speed
   double CapacityShare(std::string_view service, instant now) const;
   /// @return sessions whose agents have sent no report for longer than `limit`
@@ -103,8 +103,6 @@
   std::optional<double> FastSlowness(std::string_view service, instant now) const;
   bool IsUsable(const row& target, const task_demand& demand, instant now) const;
   bool IsFailing(const row& target) const;
-  /// @return part of the target's capacity that this entry may count on
-  static double ShareOf(const session_report& report);
   static task_resources FreeResources(const row& target);
   /// @return what the task may use of the target's free resources
   static task_resources FreeFor(const row& target, const task_demand& demand);
--- a/tests/load/load_simulation.cc
+++ b/tests/load/load_simulation.cc
@@ -32,8 +32,6 @@
 /// Run time of a task on a stalled target: longer than the timeout of any caller.
 constexpr duration kStalledRunTime = std::chrono::seconds(20);
 
-constexpr duration kOfferedWindow = std::chrono::seconds(1);
-
 double Uniform(std::mt19937_64& random, double min, double max) {
   return std::uniform_real_distribution<double>(min, max)(random);
 }
@@ -80,10 +78,6 @@
   unsigned answers_out = 0;     ///< answers sent while out of the rotation
   std::optional<double> share;  ///< share of a core; empty if processor time is not simulated
   instant idle_from{};          ///< when its processor has completed all queued work
-  unsigned number = 0;
-  unsigned sessions = 0;
-  std::optional<unsigned> urgency{};  ///< as last told to agents
-  work_rate offered{kOfferedWindow};  ///< work of the jobs that arrived
 };
 
 struct load_simulation::simulated_agent {
@@ -92,12 +86,6 @@
   std::unique_ptr<run_controller> controller;
   std::unique_ptr<fake_leased_target> target;
   std::vector<session*> sessions;
-  std::optional<demand_shares> shares;
-  struct freed_resources {
-    instant at;
-    int64_t cpu = 0;
-  };
-  std::vector<freed_resources> freed;  ///< by runs that ended during the last `hold_freed`
   bool results_due = false;
 };
 
@@ -110,13 +98,10 @@
   std::vector<run_result> results;
   target_status reported_load;
   instant last_report{};
-  std::optional<unsigned> urgency{};  ///< highest priority that waits at the entry, as told
-  int64_t held = 0;                   ///< kept from the entry in the last report
 };
 
 struct load_simulation::caller {
   const load_kind* kind = nullptr;
-  const simulated_entry* entry = nullptr;
   instant submitted;
   duration task_time{0};
   double work_done = 0;  ///< core-seconds
@@ -131,11 +116,9 @@
       arrivals_(settings_.seed),
       random_(settings_.seed + 1),
       begin_(time_.now()) {
-  totals_.entries.resize(settings_.entries);
   totals_.seconds.resize(static_cast<size_t>(ToSeconds(settings_.length)) + 1);
   for (unsigned number = 0; number < settings_.entries; ++number) {
     entries_.push_back(std::make_unique<simulated_entry>(settings_.rotation));
-    entries_.back()->number = number;
     entries_.back()->share =
         number < settings_.small_entries ? settings_.small_entry_share : std::nullopt;
     StartEntry(*entries_.back());
@@ -187,10 +170,12 @@
 
 operating_plan load_simulation::Plan() const {
   operating_plan plan;
-  std::ranges::transform(
-      settings_.kinds, std::back_inserter(plan.queues), [](const load_kind& kind) {
-        return queue_plan{.name = kind.name, .service = "lights", .priority = kind.priority};
-      });
+  std::ranges::transform(settings_.kinds, std::back_inserter(plan.queues),
+                         [](const load_kind& kind) {
+                           return queue_plan{.name = kind.name,
+                                             .service = "lights",
+                                             .priority = kind.priority};
+                         });
   return plan;
 }
 
@@ -199,8 +184,6 @@
   auto found = entry.callers.find(serial);
   caller* who = found->second;
   entry.callers.erase(found);
-  totals_.refused_with_free +=
-      answer.outcome == job_outcome::kRefused && HasFreeTargets(*who) ? 1 : 0;
   bool closes_connection =
       entry.rotation.IsOut() && ++entry.answers_out % settings_.rotation.answers_per_close == 0;
   if (closes_connection || answer.reason == kBusy) {
@@ -209,19 +192,6 @@
   time_.At(entry.idle_from, [this, who, answer] { OnAnswer(*who, answer); });
 }
 
-bool load_simulation::HasFreeTargets(const caller& who) const {
-  int64_t tasks = 0;
-  double reserved = who.kind->priority > 0 ? settings_.scheduler.reserved_share : 0;
-  for (const auto& [id, each] : sessions_) {
-    if (each->entry == who.entry) {
-      target_status load = each->agent->controller->Load();
-      auto kept = static_cast<int64_t>(reserved * static_cast<double>(load.capacity.cpu));
-      tasks += std::max<int64_t>(load.free.cpu - kept, 0) / who.kind->cpu;
-    }
-  }
-  return tasks >= who.kind->tasks * (who.is_wide ? kWideFactor : 1);
-}
-
 void load_simulation::TickEntry(simulated_entry& entry) {
   OnProcessor(entry, duration::zero(), [this, &entry, due = time_.now()] {
     entry.backlog.OnWorkTaken(time_.now() - due, time_.now());
@@ -256,7 +226,6 @@
 
 void load_simulation::Place(simulated_entry& entry) {
   entry.scheduler->Place(time_.now());
-  TellUrgency(entry);
   for (order_batch& batch : std::exchange(entry.orders, {})) {
     session& to = *sessions_.at(batch.session);
     duration sending = Spend(entry, settings_.costs.order) - time_.now();
@@ -273,9 +242,6 @@
 
 void load_simulation::Deliver(session& to, const order_batch& batch) {
   for (const task_order& order : batch.orders) {
-    double work =
-        static_cast<double>(order.resources.cpu) * static_cast<double>(order.estimate.count());
-    to.agent->shares->OnOrdered(to.id, work, time_.now());
     to.orders_seen = std::max(to.orders_seen, order.order);
     to.agent->controller->Order({.session = to.id,
                                  .order = order.order,
@@ -290,7 +256,6 @@
 
 void load_simulation::StartAgent(simulated_agent& agent, unsigned number) {
   agent.number = number;
-  agent.shares.emplace(settings_.share_options);
   agent.slowness =
       number % settings_.slow_every == 0 ? settings_.slow_factor : settings_.normal_factor;
   bool is_large = settings_.large_every > 0 && number % settings_.large_every == 0;
@@ -316,9 +281,6 @@
                 {.task = result.task, .suspected = result.crash == crash_role::kSuspect});
           }
         }
-        if (settings_.hold_freed > duration::zero()) {
-          agent.freed.push_back({time_.now(), callers_.at(result.task.job)->kind->cpu});
-        }
         auto to = std::ranges::find(agent.sessions, result.session, &session::id);
         (*to)->results.push_back(result);
         if (!std::exchange(agent.results_due, true)) {
@@ -373,8 +335,6 @@
   made->id = next_session_++;
   made->entry = &entry;
   made->agent = &agent;
-  ++entry.sessions;
-  agent.shares->OnSessionOpened(made->id);
   std::string name = "agent-" + std::to_string(agent.number);
   entry.scheduler->OnSessionOpened(made->id, {.name = name, .address = name, .domain = "zone-1"},
                                    time_.now());
@@ -396,12 +356,7 @@
     auto moved = static_cast<double>(std::abs(load.free.cpu - each->reported_load.free.cpu));
     bool changed = load.state != each->reported_load.state ||
                    moved > kReportedLoadChange * static_cast<double>(settings_.target_cpu);
-    bool told_first = settings_.urgent_reports && since >= settings_.urgent_report_interval &&
-                      settings_.hold_freed > duration::zero() && !agent.freed.empty() &&
-                      agent.freed.back().at > each->last_report && IsMostUrgent(*each);
-    bool released = each->held > 0 && HeldFrom(*each) == 0;
-    if (told_first || released || !each->results.empty() || !each->crashes.empty() ||
-        since >= kMaxReportInterval ||
+    if (!each->results.empty() || !each->crashes.empty() || since >= kMaxReportInterval ||
         (changed && since >= kMinReportInterval)) {
       SendReport(*each);
     }
@@ -410,15 +365,10 @@
 
 void load_simulation::SendReport(session& from) {
   instant sent = time_.now();
-  ++totals_.reports;
   from.last_report = sent;
   from.reported_load = from.agent->controller->Load();
-  target_status told = from.reported_load;
-  from.held = HeldFrom(from);
-  told.free.cpu -= std::clamp<int64_t>(from.held, 0, std::max<int64_t>(told.free.cpu, 0));
-  session_report report{.load = told,
+  session_report report{.load = from.reported_load,
                         .entries = static_cast<unsigned>(from.agent->sessions.size()),
-                        .share = ReportedShare(from),
                         .orders_seen = from.orders_seen,
                         .settled = from.agent->controller->Settled()};
   time_.After(kNetworkDelay, [this, &from, report, crashes = std::exchange(from.crashes, {}),
@@ -432,73 +382,12 @@
         from.entry->scheduler->OnResult(result);
       }
       Place(*from.entry);
-      time_.After(kNetworkDelay, [this, &from, sent] { OnReportAnswered(from, sent); });
+      time_.After(kNetworkDelay,
+                  [&from, sent] { from.agent->controller->OnReportAnswered(from.id, sent); });
     });
   });
 }
 
-bool load_simulation::IsMostUrgent(const session& candidate) const {
-  return candidate.urgency.has_value() &&
-         std::ranges::none_of(candidate.agent->sessions, [&](const session* other) {
-           return other->urgency.has_value() && *other->urgency < *candidate.urgency;
-         });
-}
-
-int64_t load_simulation::HeldFrom(const session& other) {
-  if (settings_.hold_freed == duration::zero()) {
-    return 0;
-  }
-  bool gives_way = std::ranges::any_of(other.agent->sessions, [&](const session* each) {
-    return each->urgency.has_value() &&
-           (!other.urgency.has_value() || *each->urgency < *other.urgency);
-  });
-  std::vector<simulated_agent::freed_resources>& freed = other.agent->freed;
-  std::erase_if(freed, [&](const auto& item) {
-    return time_.now() - item.at > settings_.hold_freed;
-  });
-  int64_t held = 0;
-  for (const auto& item : freed) {
-    held += gives_way ? item.cpu : 0;
-  }
-  return held;
-}
-
-void load_simulation::TellUrgency(simulated_entry& entry) {
-  std::optional<unsigned> urgency = entry.scheduler->most_urgent_waiting();
-  if (settings_.hold_freed == duration::zero() || !settings_.tell_urgency_at_once ||
-      urgency == entry.urgency) {
-    return;
-  }
-  entry.urgency = urgency;
-  time_.After(kNetworkDelay, [this, &entry, urgency] {
-    for (auto& [id, each] : sessions_) {
-      if (each->entry == &entry) {
-        each->urgency = urgency;
-        SendDueReports(*each->agent);
-      }
-    }
-  });
-}
-
-unsigned load_simulation::ReportedShare(const session& to) {
-  return settings_.shares == share_model::kEqual ? 0
-                                                 : to.agent->shares->ShareOf(to.id, time_.now());
-}
-
-void load_simulation::OnReportAnswered(session& from, instant sent) {
-  from.agent->controller->OnReportAnswered(from.id, sent);
-  const simulated_entry& entry = *from.entry;
-  from.urgency = entry.scheduler->most_urgent_waiting();
-  if (settings_.shares == share_model::kOrdersWaiting) {
-    from.agent->shares->SetAsked(
-        from.id, entry.scheduler->waiting_work() / ToSeconds(kOfferedWindow) / 1e6 / entry.sessions,
-        asked_work::kBesideOrders);
-  } else if (settings_.shares == share_model::kOffered) {
-    from.agent->shares->SetAsked(from.id, entry.offered.Rate(time_.now()) / entry.sessions,
-                                 asked_work::kInPlaceOfOrders);
-  }
-}
-
 void load_simulation::CallTarget(simulated_agent& agent, const target_call& call) {
   if (const auto* start = std::get_if<start_call>(&call)) {
     if (settings_.unanswered_starts > 0 && Uniform(random_, 0, 1) < settings_.unanswered_starts) {
@@ -622,12 +511,7 @@
   simulated_entry& entry =
       who->connection.has_value() ? *connections_[*who->connection] : RandomEntry();
   request_serial serial = entry.next_serial++;
-  who->entry = &entry;
   entry.callers[serial] = who.get();
-  const job_step& step = submission.steps.front();
-  entry.offered.Add(static_cast<double>(step.count) * static_cast<double>(step.resources.cpu) *
-                        static_cast<double>(step.estimate.count()),
-                    time_.now());
   callers_[id] = std::move(who);
   OnProcessor(entry, settings_.costs.request,
               [this, &entry, serial, submission = std::move(submission)]() mutable {
@@ -654,7 +538,6 @@
 
 void load_simulation::Count(const caller& who, const load_result& got) {
   totals_.kinds[who.kind->name + (who.is_deadly ? kDeadly : "")] += got;
-  totals_.entries[who.entry->number] += got;
   if (who.is_wide) {
     totals_.kinds[who.kind->name + kWide] += got;
   }
--- a/tests/load/load_simulation.h
+++ b/tests/load/load_simulation.h
@@ -13,7 +13,6 @@
 #include "scheduler/entry_rotation.h"
 #include "scheduler/job_scheduler.h"
 #include "scheduler/loop_backlog.h"
-#include "session/demand_shares.h"
 #include "tests/one_run/fake_leased_target.h"
 #include "tests/one_run/virtual_time.h"
 
@@ -28,8 +27,7 @@
   double per_second = 1;  ///< submissions by all callers together
   unsigned priority = 0;  ///< of the queue; 0 is the highest
   double deadly = 0;      ///< share of the jobs whose first task crashes each target that starts it
-  /// Share of the jobs with twice as many tasks. Their results count a second time as "NAME
-  /// (wide)".
+  /// Share of the jobs with twice as many tasks. Their results count a second time as "NAME (wide)".
   double wide = 0;
 };
 
@@ -49,14 +47,6 @@
   bool Holds(duration at) const { return at >= from && at < to; }
 };
 
-/// What an agent reports to an entry as its share of the target.
-enum class share_model {
-  kEqual,          ///< nothing: entries count on equal shares
-  kOrders,         ///< by the work that each entry has ordered recently
-  kOrdersWaiting,  ///< in addition, by the work that waits at the entry, as told by it
-  kOffered,        ///< by the work of the jobs that arrived at each entry recently, as told by it
-};
-
 /// Outcomes of the jobs of one kind.
 struct load_result {
   unsigned submitted = 0;
@@ -94,16 +84,6 @@
     /// rotation, or to another entry if there is none. 0: each job may arrive at any entry.
     unsigned connections = 0;
     entry_rotation::options rotation{};
-    share_model shares = share_model::kEqual;
-    demand_shares::options share_options{};
-    /// How long an agent keeps freed resources from entries while others that share the target have
-    /// waiting jobs of a higher priority. 0: not at all.
-    duration hold_freed{0};
-    /// Entries tell a change of the most urgent waiting priority at once, not only in replies.
-    bool tell_urgency_at_once = false;
-    /// Shortest interval of reports that only tell the most urgent entries of freed resources.
-    duration urgent_report_interval{0};
-    bool urgent_reports = true;  ///< whether to send such reports
     unsigned slow_every = 4;   ///< every n-th target is slow
     double slow_factor = 2;    ///< run time on a slow target, relative to the nominal one
     double normal_factor = 1;  ///< run time on the other targets
@@ -129,11 +109,6 @@
   };
   struct totals {
     std::map<std::string, load_result> kinds{};
-    uint64_t reports = 0;                ///< sent by agents
-    std::vector<load_result> entries{};  ///< by the entry that received the job
-    /// Refused while the entry's targets had resources for all tasks of the job, beside the
-    /// reserve.
-    unsigned refused_with_free = 0;
     std::vector<load_result> seconds{};  ///< by the second in which the job was submitted
     double work_done = 0;                ///< core-seconds of completed tasks
     double work_wasted = 0;              ///< part of work_done for jobs that did not complete
@@ -170,14 +145,6 @@
   void Deliver(session& to, const order_batch& batch);
   void SendDueReports(simulated_agent& agent);
   void SendReport(session& from);
-  /// @return resources that the agent keeps from this session's entry for more urgent jobs
-  int64_t HeldFrom(const session& other);
-  bool IsMostUrgent(const session& candidate) const;
-  void TellUrgency(simulated_entry& entry);
-  unsigned ReportedShare(const session& to);
-  void OnReportAnswered(session& from, instant sent);
-  /// @return whether its entry's targets could start all tasks of the job at once
-  bool HasFreeTargets(const caller& who) const;
   void CallTarget(simulated_agent& agent, const target_call& call);
   simulated_entry& RandomEntry();
   /// @return the entry that the load balancer selects for a new connection
