Offer freed capacity first to the entry with the most urgent job

Cause: capacity freed by a run is reported first to the entry that ordered the run. While targets are full, its jobs of lower priorities take it although another entry has jobs of the highest priority waiting.

Change: entries tell agents the highest priority that waits for the target's service (ToAgent.waitingPriority).

--- a/libraries/scheduler/job_overload.cc
+++ b/libraries/scheduler/job_overload.cc
@@ -165,12 +165,27 @@
   for (const auto& [service, highest] : prioritized_services_) {
     bool capacity_left = true;
     for (const planned_job& planned : PlanJobs(service, now)) {
-      if (!capacity_left) {
-        break;
+      if (capacity_left) {
+        PlaceJob(*planned.owner, now, capacity_left);
+      }
+      if (planned.owner->waiting > 0) {
+        unsigned priority = planned.owner->submission.queue.priority;
+        auto known = waiting_priorities_.emplace(service, priority).first;
+        known->second = std::min(known->second, priority);
       }
-      PlaceJob(*planned.owner, now, capacity_left);
     }
   }
 }
 
+waiting_priority job_scheduler::WaitingPriority(session_id session) const {
+  std::string_view service = targets_.Service(session);
+  if (!prioritized_services_.contains(service)) {
+    return {};
+  }
+  auto known = waiting_priorities_.find(service);
+  return {
+      .told = true,
+      .highest = known == waiting_priorities_.end() ? std::nullopt : std::optional(known->second)};
+}
+
 }  // namespace wagtail::leased
--- a/libraries/scheduler/job_placement.cc
+++ b/libraries/scheduler/job_placement.cc
@@ -21,6 +21,7 @@
     unsigned priority = 0;
     job* owner = nullptr;
   };
+  waiting_priorities_.clear();
   if (waiting_ == 0) {
     return;
   }
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -16,6 +16,7 @@
 #include "scheduler/queue_history.h"
 #include "scheduler/scheduler_events.h"
 #include "scheduler/target_table.h"
+#include "scheduler/waiting_priority.h"
 
 namespace wagtail::leased {
 
@@ -113,6 +114,9 @@
 
   /// @return sessions to close because their agents have sent no report for the heartbeat timeout
   std::vector<session_id> UnresponsiveSessions(instant now);
+  /// @return what to tell the session's agent: the highest priority that waited for the service of
+  ///   its target after the last call of Place, if the service's queues differ in priority
+  waiting_priority WaitingPriority(session_id session) const;
   size_t jobs() const { return jobs_.size(); }
   bool HasJob(const std::string& job) const { return jobs_.contains(job); }
   size_t targets_in_use(instant now) const { return targets_.InUse(now); }
@@ -239,6 +243,8 @@
   queue_history history_;
   /// Highest priority of each service that has queues of several priorities.
   std::map<std::string, unsigned, std::less<>> prioritized_services_;
+  /// Highest priority that waits, by prioritized service; none waits for the others.
+  std::map<std::string, unsigned, std::less<>> waiting_priorities_;
   std::map<std::string, unsigned> suspects_at_;  ///< suspected tasks placed, by agent
   job_map jobs_;
   std::unordered_map<request_serial, std::string> requests_;
--- a/libraries/scheduler/target_table.cc
+++ b/libraries/scheduler/target_table.cc
@@ -207,6 +207,11 @@
   return unresponsive;
 }
 
+std::string_view target_table::Service(session_id session) const {
+  auto found = rows_.find(session);
+  return found == rows_.end() ? std::string_view() : found->second.report.load.service;
+}
+
 const agent_identity* target_table::Agent(session_id session) const {
   auto found = rows_.find(session);
   return found == rows_.end() ? nullptr : &found->second.agent;
--- a/libraries/scheduler/target_table.h
+++ b/libraries/scheduler/target_table.h
@@ -78,6 +78,8 @@
   double CapacityShare(std::string_view service, instant now) const;
   /// @return sessions whose agents have sent no report for longer than `limit`
   std::vector<session_id> Unresponsive(duration limit, instant now) const;
+  /// @return service of the session's target as last reported; empty if not known
+  std::string_view Service(session_id session) const;
   const agent_identity* Agent(session_id session) const;
   std::optional<instant> LastReport(session_id session) const;
   size_t InUse(instant now) const;
--- a/libraries/session/agent_sessions.cc
+++ b/libraries/session/agent_sessions.cc
@@ -153,12 +153,12 @@
   for (session_id id : std::exchange(pending_, {})) {
     auto found = sessions_.find(id);
     if (found != sessions_.end() && found->second.is_open) {
-      Send(found->second);
+      Send(id, found->second);
     }
   }
 }
 
-void agent_sessions::Send(session& agent) {
+void agent_sessions::Send(session_id id, session& agent) {
   capnp::MallocMessageBuilder message;
   auto out = message.initRoot<session_wire::ToAgent>();
   out.setReportSent(agent.last_report_sent);
@@ -173,6 +173,7 @@
     Write(self_, out.initBuild());
   }
   out.setDraining(draining_);
+  out.setWaitingPriority(ToWire(hooks_.waiting(id)));
   if (agent.sent_entries_version != entries_version_) {
     Write(entries_, out.initOtherEntries(static_cast<unsigned>(entries_.size())));
     agent.sent_entries_version = entries_version_;
--- a/libraries/session/agent_sessions.h
+++ b/libraries/session/agent_sessions.h
@@ -15,6 +15,7 @@
 #include "rpc/event_loop.h"
 #include "rpc/message_stream.h"
 #include "scheduler/scheduler_events.h"
+#include "scheduler/waiting_priority.h"
 #include "session/session.capnp.h"
 
 namespace wagtail::leased {
@@ -34,6 +35,8 @@
     std::function<const operating_plan&()> plan;
     /// Receives a plan and the name of the agent that sent it.
     std::function<void(operating_plan, const std::string& agent)> newer_plan;
+    /// Highest priority of the jobs that wait for the service of the session's target.
+    std::function<waiting_priority(session_id)> waiting;
     std::function<const std::vector<std::string>&()> entries;  ///< addresses of known entries
     /// An agent has a session with the entry at this address.
     std::function<void(const std::string&)> entry_reported;
@@ -79,7 +82,7 @@
   void OnHello(session_id id, const agent_identity& identity);
   void OpenSession(session_id id, const agent_identity& identity);
   void OnReport(session_id id, session_wire::Report::Reader report);
-  void Send(session& agent);
+  void Send(session_id id, session& agent);
 
   event_loop& loop_;
   peer_build self_;
--- a/libraries/session/entry_links.cc
+++ b/libraries/session/entry_links.cc
@@ -33,6 +33,7 @@
   uint64_t rank = 0;              ///< entries with lower ranks are preferred
   instant retired_since{};        ///< when the session became surplus; zero if it is not
   target_status reported_load{};  ///< load in the last report
+  int64_t held = 0;               ///< part of its free CPU that the last report held back
   std::vector<std::string> reported_entries{};
   instant entries_reported_at{};
   std::vector<run_result> results{};
@@ -46,6 +47,7 @@
       self_(std::move(self)),
       options_(options),
       hooks_(std::move(hooks)),
+      freed_(options.freed),
       alive_(std::make_shared<entry_links*>(this)) {}
 
 entry_links::~entry_links() { *alive_ = nullptr; }
@@ -176,6 +178,8 @@
   session_id session = next_session_++;
   entry.is_connecting = false;
   entry.session = session;
+  freed_.OnSessionOpened(session);
+  entry.held = 0;
   entry.is_draining = false;
   entry.backoff.OnConnected();
   entry.last_answer = hooks_.now();
@@ -199,6 +203,7 @@
 void entry_links::Disconnect(link& entry, const std::string& why) {
   instant now = hooks_.now();
   session_id session = std::exchange(entry.session, 0);
+  freed_.OnSessionClosed(session);
   entry.is_draining = false;
   LogFact(session == 0 ? log_level::kDebug : log_level::kWarning, "entry_link_lost",
           {{"entry", entry.address}, {"session", session}, {"why", why}});
@@ -275,6 +280,10 @@
       elapsed >= (busy ? options_.busy_report_interval : options_.idle_report_interval)) {
     return true;
   }
+  bool released = entry.held > 0 && freed_.HeldFrom(entry.session) == 0;
+  if (released || freed_.IsOfferDue(entry.session, entry.last_report, now)) {
+    return true;
+  }
   if (elapsed < options_.load_report_interval) {
     return false;
   }
@@ -292,6 +301,7 @@
   }
   MaintainLinks(now);
   target_status load = hooks_.load();
+  freed_.Observe(load.free.cpu, now);
   for (auto& [address, entry] : links_) {
     if (entry->session != 0 && IsReportDue(*entry, load, now)) {
       SendReport(*entry, load, now);
@@ -307,6 +317,8 @@
                         .entries = static_cast<unsigned>(open_entries.size()),
                         .orders_seen = entry.orders_seen,
                         .settled = hooks_.settled()};
+  entry.held = freed_.HeldFrom(entry.session);
+  status.load.free.cpu -= entry.held;
   if (entry.retired_since != instant{}) {
     status.load.state = target_availability::kAbsent;
   }
@@ -356,6 +368,7 @@
   entry.is_draining = message.getDraining();
   entry.last_answer = hooks_.now();
   entry.last_seen = entry.last_answer;
+  freed_.SetWaiting(entry.session, ReadWaitingPriority(message.getWaitingPriority()));
   entry.plan.OnPeerHas(message.getPlanRevision());
   if (message.getReportSent() != 0) {
     hooks_.session_lease_renewed(entry.session, instant(duration(message.getReportSent())));
--- a/libraries/session/entry_links.h
+++ b/libraries/session/entry_links.h
@@ -12,6 +12,7 @@
 #include "rpc/event_loop.h"
 #include "rpc/message_stream.h"
 #include "scheduler/scheduler_events.h"
+#include "session/freed_capacity.h"
 #include "session/link_limits.h"
 #include "session/reconnect_backoff.h"
 #include "session/session.capnp.h"
@@ -32,6 +33,8 @@
   duration load_report_interval = std::chrono::milliseconds(40);
   /// Change of the free CPU, as a fraction of the capacity, that triggers a report by itself.
   double min_load_change = 0.15;
+  /// Offers of freed capacity to the entry with the most urgent waiting job.
+  freed_capacity_options freed{};
   /// A surplus session stays open at least this long after its entry was asked to send no more
   /// orders.
   duration retire_delay = std::chrono::milliseconds(500);
@@ -112,6 +115,7 @@
   agent_identity self_;
   entry_links_options options_;
   hooks hooks_;
+  freed_capacity freed_;
   std::map<std::string, std::unique_ptr<link>> links_;
   session_id next_session_ = 1;
   uint64_t plan_copies_ = 0;             ///< sent to entries
--- a/libraries/session/session.capnp
+++ b/libraries/session/session.capnp
@@ -145,4 +145,6 @@
   stops @5 :List(UInt64);
   build @6 :Build;            # in the first message of a session
   draining @7 :Bool;          # the entry is about to end; the agent is to open another session
+  waitingPriority @8 :UInt32; # of the most urgent job that waits for the target's service, plus 2;
+                              # 1: none waits; 0: the entry does not tell
 }
--- a/libraries/session/session.capnp.h
+++ b/libraries/session/session.capnp.h
@@ -1639,6 +1639,8 @@
 
   inline bool getDraining() const;
 
+  inline  ::uint32_t getWaitingPriority() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1713,6 +1715,9 @@
   inline bool getDraining();
   inline void setDraining(bool value);
 
+  inline  ::uint32_t getWaitingPriority();
+  inline void setWaitingPriority( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3551,6 +3556,20 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ToAgent::Reader::getWaitingPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ToAgent::Builder::getWaitingPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ToAgent::Builder::setWaitingPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/libraries/session/session_codec.cc
+++ b/libraries/session/session_codec.cc
@@ -6,6 +6,10 @@
 namespace wagtail::leased {
 namespace {
 
+/// Values of ToAgent.waitingPriority if no job waits, and if one of the highest priority does.
+constexpr uint32_t kNoneWaits = 1;
+constexpr uint32_t kHighestWaits = 2;
+
 duration ToDuration(int64_t microseconds) { return duration(microseconds); }
 
 uint32_t ToWireSize(int64_t amount) {
@@ -250,6 +254,21 @@
   return report;
 }
 
+waiting_priority ReadWaitingPriority(uint32_t in) {
+  return {.told = in >= kNoneWaits,
+          .highest = in >= kHighestWaits ? std::optional(in - kHighestWaits) : std::nullopt};
+}
+
+uint32_t ToWire(const waiting_priority& waiting) {
+  if (!waiting.told) {
+    return 0;
+  }
+  // A priority that does not fit is told as the lowest that does.
+  return waiting.highest.has_value()
+             ? std::min(*waiting.highest, UINT32_MAX - kHighestWaits) + kHighestWaits
+             : kNoneWaits;
+}
+
 void Write(const peer_build& build, session_wire::Build::Builder out) {
   out.setOldestProtocol(static_cast<uint16_t>(build.protocols.oldest));
   out.setNewestProtocol(static_cast<uint16_t>(build.protocols.newest));
--- a/libraries/session/session_codec.h
+++ b/libraries/session/session_codec.h
@@ -7,6 +7,7 @@
 #include "leases/run_events.h"
 #include "plan/operating_plan.h"
 #include "scheduler/scheduler_events.h"
+#include "scheduler/waiting_priority.h"
 #include "session/session.capnp.h"
 
 /// @file
@@ -38,6 +39,10 @@
 void Write(const agent_identity& agent, session_wire::Hello::Builder out);
 agent_identity Read(session_wire::Hello::Reader in);
 
+/// Reads and writes `ToAgent.waitingPriority`.
+waiting_priority ReadWaitingPriority(uint32_t in);
+uint32_t ToWire(const waiting_priority& waiting);
+
 std::vector<std::string> Read(capnp::List<capnp::Text>::Reader in);
 void Write(std::span<const std::string> texts, capnp::List<capnp::Text>::Builder out);
 
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -166,6 +166,7 @@
   hooks.newer_plan = [this](operating_plan plan, const std::string& agent) {
     ApplyPlan(std::move(plan), agent);
   };
+  hooks.waiting = [this](session_id session) { return scheduler_->WaitingPriority(session); };
   hooks.entries = [this]() -> const std::vector<std::string>& { return known_entries_; };
   hooks.entry_reported = [this](const std::string& entry) { OnEntryReported(entry); };
   sessions_ = std::make_unique<agent_sessions>(loop_, OwnBuild(), std::move(hooks));
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -470,4 +470,32 @@
   CHECK_EQUAL(0, scheduler.jobs());
 }
 
+// Agents compare entries by what is told here. Where all queues have one priority nothing is told,
+// so that such deployments are served as before.
+TEST(JobScheduler, TellsTheHighestWaitingPriorityOfAServiceWithSeveral) {
+  AddTarget(1, 6000);
+  Submit(1, Job("a", 3));
+  CHECK(!scheduler.WaitingPriority(1).told);
+  CHECK(!scheduler.WaitingPriority(99).told);
+
+  operating_plan plan;
+  plan.queues = {{.name = "q", .service = "lights", .priority = 0},
+                 {.name = "r", .service = "lights", .priority = 2},
+                 {.name = "s", .service = "sounds", .priority = 0}};
+  scheduler.SetPlan(plan);
+  scheduler.Place(now);
+  CHECK(scheduler.WaitingPriority(1) == (waiting_priority{.told = true, .highest = 0}));
+}
+
+TEST(JobScheduler, TellsThatNoJobWaits) {
+  AddTarget(1);
+  operating_plan plan;
+  plan.queues = {{.name = "q", .service = "lights", .priority = 0},
+                 {.name = "r", .service = "lights", .priority = 2}};
+  scheduler.SetPlan(plan);
+  Submit(1, Job("a"));
+  CHECK_EQUAL(2, orders.size());
+  CHECK(scheduler.WaitingPriority(1) == (waiting_priority{.told = true, .highest = std::nullopt}));
+}
+
 }  // namespace wagtail::leased
--- a/tests/session/session_codec_test.cc
+++ b/tests/session/session_codec_test.cc
@@ -93,6 +93,32 @@
   STRCMP_EQUAL("0.2.0 abc", read.build.build.c_str());
 }
 
+TEST(SessionCodec, CarriesTheWaitingPriority) {
+  for (const waiting_priority& told :
+       {waiting_priority{.told = true, .highest = std::nullopt},
+        waiting_priority{.told = true, .highest = 0}, waiting_priority{.told = true, .highest = 7},
+        waiting_priority{}}) {
+    capnp::MallocMessageBuilder message;
+    auto written = message.initRoot<session_wire::ToAgent>();
+    written.setWaitingPriority(ToWire(told));
+    CHECK(ReadWaitingPriority(written.asReader().getWaitingPriority()) == told);
+  }
+}
+
+// A priority at the end of the range must not wrap to "not told" or "none waits".
+TEST(SessionCodec, CarriesTheLowestPriority) {
+  waiting_priority told{.told = true, .highest = UINT32_MAX};
+  CHECK_EQUAL(UINT32_MAX, ToWire(told));
+  CHECK(ReadWaitingPriority(ToWire(told)).highest == UINT32_MAX - 2);
+}
+
+// An entry of the previous version does not send the field: agents hold nothing back from it.
+TEST(SessionCodec, AnEntryWithoutTheFieldTellsNoWaitingPriority) {
+  capnp::MallocMessageBuilder message;
+  auto written = message.initRoot<session_wire::ToAgent>();
+  CHECK(!ReadWaitingPriority(written.asReader().getWaitingPriority()).told);
+}
+
 TEST(SessionCodec, APeerThatStatesNoBuildSpeaksTheFirstProtocol) {
   capnp::MallocMessageBuilder message;
   message.initRoot<session_wire::Hello>().setAgent("a");
--- a/tests/session/session_loopback_test.cc
+++ b/tests/session/session_loopback_test.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <chrono>
 #include <iterator>
+#include <map>
 #include <thread>
 
 #include "rpc/connection_listener.h"
@@ -43,6 +44,8 @@
   std::vector<task_crash> crashes{};
   std::vector<run_result> results{};
   std::vector<std::string> entries{};
+  waiting_priority waiting{};
+  std::vector<int64_t> free_cpu{};  ///< as reported
   unsigned reports = 0;
   std::unique_ptr<agent_sessions> sessions{};
   std::unique_ptr<connection_listener> server{};
@@ -59,7 +62,11 @@
     hooks.session_opened = [this](session_id session, const agent_identity&) {
       opened.push_back(session);
     };
-    hooks.report_received = [this](session_id, const session_report&) { ++reports; };
+    hooks.report_received = [this](session_id, const session_report& report) {
+      ++reports;
+      free_cpu.push_back(report.load.free.cpu);
+    };
+    hooks.waiting = [this](session_id) { return waiting; };
     hooks.task_crashed = [this](const task_crash& crash) { crashes.push_back(crash); };
     hooks.result = [this](const run_result& result) { results.push_back(result); };
     hooks.session_closed = [this](session_id session) { closed.push_back(session); };
@@ -88,18 +95,24 @@
   std::vector<run_order> orders{};
   std::vector<uint64_t> withdrawn{};
   unsigned lease_renewals = 0;
+  std::map<session_id, unsigned> answers{};  ///< to reports
+  target_status load{};
+  entry_links_options options{};
   std::unique_ptr<entry_links> links{};
 
   void Make(event_loop& loop) {
     entry_links::hooks hooks;
     hooks.now = BootTimeNow;
     hooks.session_opened = [this](session_id session, instant) { opened.push_back(session); };
-    hooks.session_lease_renewed = [this](session_id, instant) { ++lease_renewals; };
+    hooks.session_lease_renewed = [this](session_id session, instant) {
+      ++lease_renewals;
+      ++answers[session];
+    };
     hooks.session_closed = [this](session_id session) { closed.push_back(session); };
     hooks.order = [this](run_order order) { orders.push_back(std::move(order)); };
     hooks.withdraw = [this](session_id, uint64_t order) { withdrawn.push_back(order); };
     hooks.after_message = [] {};
-    hooks.load = [] { return target_status{}; };
+    hooks.load = [this] { return load; };
     hooks.busy = [](session_id) { return false; };
     hooks.settled = [] { return true; };
     hooks.plan = [this]() -> const operating_plan& { return plan; };
@@ -109,8 +122,8 @@
     };
     loop.Run([&] {
       links = std::make_unique<entry_links>(
-          loop, agent_identity{.name = "a", .address = "10.0.0.1:1", .domain = "zone-1"},
-          entry_links_options{}, hooks);
+          loop, agent_identity{.name = "a", .address = "10.0.0.1:1", .domain = "zone-1"}, options,
+          hooks);
     });
   }
 };
@@ -274,6 +287,78 @@
   });
 }
 
+// Capacity freed by a run of one entry must not go to its less urgent jobs while another entry that
+// shares the target has more urgent ones waiting, nor be kept for an entry that is gone.
+TEST(SessionLoopback, FreedCapacityIsOfferedToTheMoreUrgentEntryAlone) {
+  constexpr int64_t kFreed = 6900;
+  constexpr unsigned kReports = 3;
+  entry_end other;
+  other.Listen(*loop);
+  loop->Run([&] {
+    agent.links.reset();
+    entry.waiting = {.told = true, .highest = 1};
+    other.waiting = {.told = true, .highest = 0};
+  });
+  agent.options.freed.hold = std::chrono::hours(1);
+  agent.opened.clear();
+  agent.answers.clear();
+  agent.Make(*loop);
+  loop->Run([&] {
+    agent.links->AddEntry(entry.address);
+    agent.links->AddEntry(other.address);
+  });
+  CHECK(Until([&] {
+    return agent.opened.size() == 2 && std::ranges::all_of(agent.opened, [&](session_id session) {
+             return agent.answers[session] >= kReports;
+           });
+  }));
+  size_t before = 0;
+  loop->Run([&] {
+    before = entry.free_cpu.size();
+    agent.load.free.cpu = kFreed;
+  });
+  CHECK(Until([&] {
+    return other.free_cpu.back() == kFreed && entry.free_cpu.size() >= before + kReports;
+  }));
+  loop->Run([&] { CHECK_EQUAL(0, std::ranges::count(entry.free_cpu, kFreed)); });
+  loop->Run([&] {
+    other.server.reset();
+    other.sessions.reset();
+  });
+  CHECK(Until([&] { return entry.free_cpu.back() == kFreed; }));
+}
+
+// Entries of the previous version do not tell their priorities: they learn of all free capacity.
+TEST(SessionLoopback, NothingIsHeldBackFromAnEntryThatTellsNoPriority) {
+  constexpr int64_t kFreed = 6900;
+  entry_end other;
+  other.Listen(*loop);
+  loop->Run([&] {
+    agent.links.reset();
+    other.waiting = {.told = true, .highest = 0};
+  });
+  agent.options.freed.hold = std::chrono::hours(1);
+  agent.opened.clear();
+  agent.answers.clear();
+  agent.Make(*loop);
+  loop->Run([&] {
+    agent.links->AddEntry(entry.address);
+    agent.links->AddEntry(other.address);
+  });
+  CHECK(Until([&] {
+    return agent.opened.size() == 2 && std::ranges::all_of(agent.opened, [&](session_id session) {
+             return agent.answers[session] >= 1;
+           });
+  }));
+  loop->Run([&] { agent.load.free.cpu = kFreed; });
+  CHECK(Until([&] { return entry.free_cpu.back() == kFreed && other.free_cpu.back() == kFreed; }));
+  loop->Run([&] {
+    agent.links.reset();
+    other.server.reset();
+    other.sessions.reset();
+  });
+}
+
 namespace {
 
 /// Sends raw messages of an agent, and counts what the entry sends back.
