--- a/tests/load/load_simulation.cc
+++ b/tests/load/load_simulation.cc
@@ -78,6 +78,7 @@
   unsigned answers_out = 0;     ///< answers sent while out of the rotation
   std::optional<double> share;  ///< share of a core; empty if processor time is not simulated
   instant idle_from{};          ///< when its processor has completed all queued work
+  unsigned number = 0;
 };
 
 struct load_simulation::simulated_agent {
@@ -86,6 +87,7 @@
   std::unique_ptr<run_controller> controller;
   std::unique_ptr<fake_leased_target> target;
   std::vector<session*> sessions;
+  std::optional<freed_capacity> freed;
   bool results_due = false;
 };
 
@@ -98,10 +100,12 @@
   std::vector<run_result> results;
   target_status reported_load;
   instant last_report{};
+  int64_t held = 0;  ///< part of the free CPU that the last report held back
 };
 
 struct load_simulation::caller {
   const load_kind* kind = nullptr;
+  const simulated_entry* entry = nullptr;
   instant submitted;
   duration task_time{0};
   double work_done = 0;  ///< core-seconds
@@ -116,9 +120,11 @@
       arrivals_(settings_.seed),
       random_(settings_.seed + 1),
       begin_(time_.now()) {
+  totals_.entries.resize(settings_.entries);
   totals_.seconds.resize(static_cast<size_t>(ToSeconds(settings_.length)) + 1);
   for (unsigned number = 0; number < settings_.entries; ++number) {
     entries_.push_back(std::make_unique<simulated_entry>(settings_.rotation));
+    entries_.back()->number = number;
     entries_.back()->share =
         number < settings_.small_entries ? settings_.small_entry_share : std::nullopt;
     StartEntry(*entries_.back());
@@ -170,12 +176,10 @@
 
 operating_plan load_simulation::Plan() const {
   operating_plan plan;
-  std::ranges::transform(settings_.kinds, std::back_inserter(plan.queues),
-                         [](const load_kind& kind) {
-                           return queue_plan{.name = kind.name,
-                                             .service = "lights",
-                                             .priority = kind.priority};
-                         });
+  std::ranges::transform(
+      settings_.kinds, std::back_inserter(plan.queues), [](const load_kind& kind) {
+        return queue_plan{.name = kind.name, .service = "lights", .priority = kind.priority};
+      });
   return plan;
 }
 
@@ -184,6 +188,8 @@
   auto found = entry.callers.find(serial);
   caller* who = found->second;
   entry.callers.erase(found);
+  totals_.refused_with_free +=
+      answer.outcome == job_outcome::kRefused && HasFreeTargets(*who) ? 1 : 0;
   bool closes_connection =
       entry.rotation.IsOut() && ++entry.answers_out % settings_.rotation.answers_per_close == 0;
   if (closes_connection || answer.reason == kBusy) {
@@ -192,6 +198,20 @@
   time_.At(entry.idle_from, [this, who, answer] { OnAnswer(*who, answer); });
 }
 
+bool load_simulation::HasFreeTargets(const caller& who) const {
+  int64_t tasks = 0;
+  double reserved = who.kind->priority > 0 ? settings_.scheduler.reserved_share : 0;
+  for (const auto& [id, each] : sessions_) {
+    if (each->entry == who.entry) {
+      target_status load = each->agent->controller->Load();
+      auto kept = static_cast<int64_t>(reserved * static_cast<double>(load.capacity.cpu));
+      tasks += std::max<int64_t>(load.free.cpu - kept, 0) / who.kind->cpu;
+    }
+  }
+  int64_t needed = who.kind->tasks;
+  return tasks >= needed * (who.is_wide ? kWideFactor : 1);
+}
+
 void load_simulation::TickEntry(simulated_entry& entry) {
   OnProcessor(entry, duration::zero(), [this, &entry, due = time_.now()] {
     entry.backlog.OnWorkTaken(time_.now() - due, time_.now());
@@ -229,8 +249,11 @@
   for (order_batch& batch : std::exchange(entry.orders, {})) {
     session& to = *sessions_.at(batch.session);
     duration sending = Spend(entry, settings_.costs.order) - time_.now();
-    time_.After(sending + kNetworkDelay,
-                [this, &to, batch = std::move(batch)] { Deliver(to, batch); });
+    waiting_priority waiting = entry.scheduler->WaitingPriority(batch.session);
+    time_.After(sending + kNetworkDelay, [this, &to, batch = std::move(batch), waiting] {
+      to.agent->freed->SetWaiting(to.id, waiting);
+      Deliver(to, batch);
+    });
   }
   for (auto [id, order] : std::exchange(entry.withdrawn, {})) {
     session& to = *sessions_.at(id);
@@ -256,6 +279,7 @@
 
 void load_simulation::StartAgent(simulated_agent& agent, unsigned number) {
   agent.number = number;
+  agent.freed.emplace(settings_.freed);
   agent.slowness =
       number % settings_.slow_every == 0 ? settings_.slow_factor : settings_.normal_factor;
   bool is_large = settings_.large_every > 0 && number % settings_.large_every == 0;
@@ -335,6 +359,7 @@
   made->id = next_session_++;
   made->entry = &entry;
   made->agent = &agent;
+  agent.freed->OnSessionOpened(made->id);
   std::string name = "agent-" + std::to_string(agent.number);
   entry.scheduler->OnSessionOpened(made->id, {.name = name, .address = name, .domain = "zone-1"},
                                    time_.now());
@@ -351,23 +376,35 @@
 
 void load_simulation::SendDueReports(simulated_agent& agent) {
   target_status load = agent.controller->Load();
+  agent.freed->Observe(load.free.cpu, time_.now());
   for (session* each : agent.sessions) {
-    duration since = time_.now() - each->last_report;
-    auto moved = static_cast<double>(std::abs(load.free.cpu - each->reported_load.free.cpu));
-    bool changed = load.state != each->reported_load.state ||
-                   moved > kReportedLoadChange * static_cast<double>(settings_.target_cpu);
-    if (!each->results.empty() || !each->crashes.empty() || since >= kMaxReportInterval ||
-        (changed && since >= kMinReportInterval)) {
+    if (IsReportDue(*each, load)) {
       SendReport(*each);
     }
   }
 }
 
+bool load_simulation::IsReportDue(const session& to, const target_status& load) const {
+  duration since = time_.now() - to.last_report;
+  const freed_capacity& freed = *to.agent->freed;
+  bool released = to.held > 0 && freed.HeldFrom(to.id) == 0;
+  auto moved = static_cast<double>(std::abs(load.free.cpu - to.reported_load.free.cpu));
+  bool changed = load.state != to.reported_load.state ||
+                 moved > kReportedLoadChange * static_cast<double>(settings_.target_cpu);
+  return !to.results.empty() || !to.crashes.empty() || released ||
+         freed.IsOfferDue(to.id, to.last_report, time_.now()) || since >= kMaxReportInterval ||
+         (changed && since >= kMinReportInterval);
+}
+
 void load_simulation::SendReport(session& from) {
   instant sent = time_.now();
+  ++totals_.reports;
   from.last_report = sent;
   from.reported_load = from.agent->controller->Load();
-  session_report report{.load = from.reported_load,
+  from.held = from.agent->freed->HeldFrom(from.id);
+  target_status told = from.reported_load;
+  told.free.cpu -= from.held;
+  session_report report{.load = told,
                         .entries = static_cast<unsigned>(from.agent->sessions.size()),
                         .orders_seen = from.orders_seen,
                         .settled = from.agent->controller->Settled()};
@@ -382,8 +419,11 @@
         from.entry->scheduler->OnResult(result);
       }
       Place(*from.entry);
-      time_.After(kNetworkDelay,
-                  [&from, sent] { from.agent->controller->OnReportAnswered(from.id, sent); });
+      waiting_priority waiting = from.entry->scheduler->WaitingPriority(from.id);
+      time_.After(kNetworkDelay, [&from, sent, waiting] {
+        from.agent->freed->SetWaiting(from.id, waiting);
+        from.agent->controller->OnReportAnswered(from.id, sent);
+      });
     });
   });
 }
@@ -511,6 +551,7 @@
   simulated_entry& entry =
       who->connection.has_value() ? *connections_[*who->connection] : RandomEntry();
   request_serial serial = entry.next_serial++;
+  who->entry = &entry;
   entry.callers[serial] = who.get();
   callers_[id] = std::move(who);
   OnProcessor(entry, settings_.costs.request,
@@ -538,6 +579,7 @@
 
 void load_simulation::Count(const caller& who, const load_result& got) {
   totals_.kinds[who.kind->name + (who.is_deadly ? kDeadly : "")] += got;
+  totals_.entries[who.entry->number] += got;
   if (who.is_wide) {
     totals_.kinds[who.kind->name + kWide] += got;
   }
--- a/tests/load/load_simulation.h
+++ b/tests/load/load_simulation.h
@@ -13,6 +13,7 @@
 #include "scheduler/entry_rotation.h"
 #include "scheduler/job_scheduler.h"
 #include "scheduler/loop_backlog.h"
+#include "session/freed_capacity.h"
 #include "tests/one_run/fake_leased_target.h"
 #include "tests/one_run/virtual_time.h"
 
@@ -27,7 +28,8 @@
   double per_second = 1;  ///< submissions by all callers together
   unsigned priority = 0;  ///< of the queue; 0 is the highest
   double deadly = 0;      ///< share of the jobs whose first task crashes each target that starts it
-  /// Share of the jobs with twice as many tasks. Their results count a second time as "NAME (wide)".
+  /// Share of the jobs with twice as many tasks. Their results count a second time as "NAME
+  /// (wide)".
   double wide = 0;
 };
 
@@ -105,10 +107,16 @@
     /// Share of the starts that targets neither answer nor carry out, as if they came much later.
     double unanswered_starts = 0;
     run_controller_options controller{};
+    freed_capacity_options freed{};
     job_scheduler_options scheduler{};
   };
   struct totals {
     std::map<std::string, load_result> kinds{};
+    std::vector<load_result> entries{};  ///< by the entry that received the job
+    /// Refused while the entry's targets had resources for all tasks of the job, beside the
+    /// reserve.
+    unsigned refused_with_free = 0;
+    uint64_t reports = 0;                ///< sent by agents
     std::vector<load_result> seconds{};  ///< by the second in which the job was submitted
     double work_done = 0;                ///< core-seconds of completed tasks
     double work_wasted = 0;              ///< part of work_done for jobs that did not complete
@@ -144,7 +152,10 @@
   void Place(simulated_entry& entry);
   void Deliver(session& to, const order_batch& batch);
   void SendDueReports(simulated_agent& agent);
+  bool IsReportDue(const session& to, const target_status& load) const;
   void SendReport(session& from);
+  /// @return whether its entry's targets could start all tasks of the job at once
+  bool HasFreeTargets(const caller& who) const;
   void CallTarget(simulated_agent& agent, const target_call& call);
   simulated_entry& RandomEntry();
   /// @return the entry that the load balancer selects for a new connection
--- a/tests/load/load_test.cc
+++ b/tests/load/load_test.cc
@@ -288,4 +288,34 @@
   CHECK(after.InTimeShare() >= kMinInTimeAfterMove);
 }
 
+// Twelve entries share full targets. Told of freed capacity in any order, entries with jobs of
+// lower priorities take it while another one has jobs of the highest priority waiting.
+TEST(Load, JobsOfTheHighestPriorityGetFreedCapacityOfOtherEntries) {
+  constexpr double kMinInTimeOfHighest = 0.85;
+  constexpr double kMinGain = 0.1;
+  load_simulation::settings settings{.entries = 12,
+                                     .targets = 24,
+                                     .slow_every = 24,
+                                     .slow_factor = 1,
+                                     .caller_timeout = Ms(2100),
+                                     .length = std::chrono::seconds(10)};
+  settings.kinds = {
+      {.name = "wide", .tasks = 8, .task_time = Ms(51), .cpu = 6900, .per_second = 124},
+      {.name = "pair", .tasks = 2, .task_time = Ms(170), .cpu = 6900, .per_second = 362},
+      {.name = "long", .tasks = 4, .task_time = Ms(760), .cpu = 6900, .per_second = 22.6}};
+  for (unsigned priority = 0; priority < settings.kinds.size(); ++priority) {
+    settings.kinds[priority].priority = priority;
+  }
+  load_simulation::totals offered = RunSeeds(settings);
+  settings.freed.hold = duration::zero();
+  load_simulation::totals before = RunSeeds(settings);
+  std::printf("wide in time: %.3f, without offers %.3f; served: %.3f, without %.3f\n",
+              offered.kinds.at("wide").InTimeShare(), before.kinds.at("wide").InTimeShare(),
+              offered.Sum().ServedShare(), before.Sum().ServedShare());
+  CHECK(offered.kinds.at("wide").InTimeShare() >= kMinInTimeOfHighest);
+  CHECK(offered.kinds.at("wide").InTimeShare() >= before.kinds.at("wide").InTimeShare() + kMinGain);
+  CHECK(offered.Sum().ServedShare() >= before.Sum().ServedShare());
+  CHECK(offered.work_wasted <= before.work_wasted + kMaxWasted * offered.work_done);
+}
+
 }  // namespace wagtail::leased
