Limit what untrusted clients can hold of an HTTP server

Cause: ulfius buffers whole bodies before any hook can stop it, so that 1,500 connections with 4 MiB each could ask for 6 GB. Slow headers and bodies were not limited in time, only inactivity was, and at the connection limit every new connection was closed.

Change: the server reads requests with libmicrohttpd's own callbacks. A body is counted against its limit and against a budget of the process before memory is allocated for it; the answer to a body that is announced too large (413) or does not fit now (503, Retry-After: 1) is sent before the body is read, and the rest is discarded within a bound so that the client reads the answer. Connections have limits of time for header, body and idleness. At the connection limit, and when memory is short, the connection that has gone longest without completing a request, or the slowest body, gives way; one with a handler at work never does. Thread stacks, header memory and socket buffers are bounded.

--- /dev/null
+++ b/libraries/http/connection_table.cc
@@ -0,0 +1,150 @@
+#include "http/connection_table.h"
+
+#include <algorithm>
+
+namespace wagtail {
+
+std::string_view ToText(closing_reason reason) {
+  switch (reason) {
+    case closing_reason::kHeaderTime:
+      return "header_time";
+    case closing_reason::kBodyTime:
+      return "body_time";
+    case closing_reason::kIdleTime:
+      return "idle_time";
+    case closing_reason::kConnections:
+      return "connections";
+    case closing_reason::kMemory:
+      return "memory";
+  }
+  return "unknown";
+}
+
+connection_table::admission connection_table::Admit() {
+  if (connections_.size() - closing_ < limits_.max_connections) {
+    return {};
+  }
+  auto longest = connections_.end();
+  for (auto each = connections_.begin(); each != connections_.end(); ++each) {
+    const connection& candidate = each->second;
+    if (candidate.is_closing || candidate.phase == connection_phase::kHandling) {
+      continue;
+    }
+    if (longest == connections_.end() ||
+        candidate.last_completed < longest->second.last_completed) {
+      longest = each;
+    }
+  }
+  if (longest == connections_.end()) {
+    return {.accepted = false};
+  }
+  return {.displaced = Close(longest, closing_reason::kConnections)};
+}
+
+void connection_table::Open(int socket, instant now) {
+  Remove(socket);
+  connections_[socket] = {.phase_began = now, .last_completed = now};
+}
+
+void connection_table::Remove(int socket) {
+  auto found = connections_.find(socket);
+  if (found != connections_.end()) {
+    closing_ -= found->second.is_closing ? 1 : 0;
+    connections_.erase(found);
+  }
+}
+
+bool connection_table::Enter(int socket, connection_phase phase, instant now) {
+  auto found = connections_.find(socket);
+  if (found == connections_.end()) {
+    return true;
+  }
+  found->second.phase = phase;
+  found->second.phase_began = now;
+  return !found->second.is_closing;
+}
+
+void connection_table::Complete(int socket, instant now) {
+  auto found = connections_.find(socket);
+  if (found != connections_.end()) {
+    found->second.phase = connection_phase::kIdle;
+    found->second.phase_began = now;
+    found->second.last_completed = now;
+  }
+}
+
+std::optional<closing_reason> connection_table::OverdueReason(const connection& each,
+                                                              instant now) const {
+  duration in_phase = now - each.phase_began;
+  switch (each.phase) {
+    case connection_phase::kIdle:
+      return in_phase >= limits_.idle_timeout ? std::optional(closing_reason::kIdleTime)
+                                              : std::nullopt;
+    case connection_phase::kHeader:
+      return in_phase >= limits_.header_timeout ? std::optional(closing_reason::kHeaderTime)
+                                                : std::nullopt;
+    case connection_phase::kBody:
+    case connection_phase::kAnswering:
+      return in_phase >= limits_.body_timeout ? std::optional(closing_reason::kBodyTime)
+                                              : std::nullopt;
+    case connection_phase::kHandling:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+std::vector<connection_table::closing> connection_table::TakeOverdue(instant now) {
+  std::vector<closing> overdue;
+  for (auto each = connections_.begin(); each != connections_.end(); ++each) {
+    std::optional<closing_reason> reason = OverdueReason(each->second, now);
+    if (reason.has_value() && !each->second.is_closing) {
+      overdue.push_back(Close(each, *reason));
+    }
+  }
+  return overdue;
+}
+
+std::optional<connection_table::closing> connection_table::TakeSlowestBody(instant now,
+                                                                           duration grace) {
+  auto slowest = connections_.end();
+  for (auto each = connections_.begin(); each != connections_.end(); ++each) {
+    const connection& candidate = each->second;
+    if (candidate.is_closing || candidate.phase != connection_phase::kBody ||
+        now - candidate.phase_began <= grace) {
+      continue;
+    }
+    if (slowest == connections_.end() || candidate.phase_began < slowest->second.phase_began) {
+      slowest = each;
+    }
+  }
+  if (slowest == connections_.end()) {
+    return std::nullopt;
+  }
+  return Close(slowest, closing_reason::kMemory);
+}
+
+std::vector<int> connection_table::TakeIdle(instant now, duration idle_for) {
+  std::vector<int> idle;
+  for (auto& [socket, each] : connections_) {
+    bool is_idle = each.phase == connection_phase::kIdle && now - each.phase_began >= idle_for;
+    if (is_idle && !each.is_read_shut) {
+      each.is_read_shut = true;
+      idle.push_back(socket);
+    }
+  }
+  return idle;
+}
+
+bool connection_table::IsReadShut(int socket) const {
+  auto found = connections_.find(socket);
+  return found != connections_.end() && found->second.is_read_shut;
+}
+
+connection_table::closing connection_table::Close(std::map<int, connection>::iterator found,
+                                                  closing_reason reason) {
+  found->second.is_closing = true;
+  ++closing_;
+  return {.socket = found->first, .reason = reason};
+}
+
+}  // namespace wagtail
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -3,225 +3,58 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <ulfius.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
-#include <atomic>
-#include <condition_variable>
-#include <exception>
-#include <map>
-#include <mutex>
-#include <optional>
-#include <span>
-#include <string_view>
 #include <utility>
 
-#include "base/time.h"
 #include "base/verify.h"
 #include "http/http_error.h"
 #include "http/http_runtime.h"
+#include "http/http_server_state.h"
 
 namespace wagtail {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBodyTooLarge = 413;
-constexpr int kHandlerFailed = 500;
-constexpr int kStopping = 503;
-/// Idle timeout of connections; also bounds how long an unresponsive peer occupies a thread.
-constexpr unsigned kIdleConnectionSeconds = 60;
 /// A connection that sends nothing is accepted only after this time.
 constexpr int kDeferAcceptSeconds = 10;
+/// Request line, header and libmicrohttpd's own records of a request must fit into this; also the
+/// most that is read at once.
+constexpr size_t kConnectionPoolBytes = 32 << 10;
+/// Handlers parse JSON and write answers; they need a few tens of KiB.
+constexpr size_t kThreadStackBytes = 512 << 10;
+/// Bounds what the kernel holds of a connection that is not read, and of an answer that its peer
+/// does not take. The kernel doubles it.
+constexpr int kSocketBufferBytes = 32 << 10;
+/// Connections that may be on their way out beside max_connections.
+constexpr unsigned kMaxClosing = 64;
+constexpr unsigned kMaxBacklog = 256;
 
-http_fields FieldsOf(const _u_map* map, bool lower_names) {
-  http_fields fields;
-  if (map == nullptr) {
-    return fields;
-  }
-  std::span keys(map->keys, static_cast<size_t>(map->nb_values));
-  for (size_t index = 0; index < keys.size(); ++index) {
-    const char* value = map->values[index];
-    std::string name = lower_names ? LowerCase(keys[index]) : std::string(keys[index]);
-    fields.insert_or_assign(std::move(name), value == nullptr ? std::string() : std::string(value));
-  }
-  return fields;
-}
-
-std::string PercentDecoded(const char* text) {
-  std::string decoded(text);
-  decoded.resize(MHD_http_unescape(decoded.data()));
-  return decoded;
-}
-
-http_request RequestOf(const _u_request* request) {
-  http_request result;
-  result.method = request->http_verb == nullptr ? "" : request->http_verb;
-  result.path = request->url_path == nullptr ? "" : PercentDecoded(request->url_path);
-  result.query = FieldsOf(request->map_url, true);
-  result.headers = FieldsOf(request->map_header, true);
-  if (request->binary_body != nullptr) {
-    result.body.assign(static_cast<const char*>(request->binary_body), request->binary_body_length);
-  }
-  return result;
+http_response PlainRefusal(int status, std::string_view error) {
+  return {.status = status, .headers = {}, .body = std::string(error) + "\n"};
 }
 
-void Answer(const http_response& answer, _u_response* response) {
-  if (answer.body.empty()) {
-    ulfius_set_empty_body_response(response, static_cast<unsigned>(answer.status));
-  } else {
-    ulfius_set_binary_body_response(response, static_cast<unsigned>(answer.status),
-                                    answer.body.data(), answer.body.size());
-  }
-  for (const auto& [name, value] : answer.headers) {
-    ulfius_add_header_to_response(response, name.c_str(), value.c_str());
-  }
+MHD_OptionItem Option(MHD_OPTION option, intptr_t value, void* pointer = nullptr) {
+  return {option, value, pointer};
 }
 
-/// With a thread per connection every callback of a request runs on that connection's thread.
-thread_local bool answering = false;
-thread_local int connection_socket = -1;
-
-int SocketOf(MHD_Connection* connection) {
-  const MHD_ConnectionInfo* info =
-      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  return info == nullptr ? -1 : info->connect_fd;
+unsigned WholeSeconds(duration span) {
+  return static_cast<unsigned>(std::chrono::ceil<std::chrono::seconds>(span).count());
 }
 
 }  // namespace
 
-/// An open connection of a server.
-struct open_socket {
-  std::optional<instant> idle_since{};  ///< empty while a request is in progress
-  bool is_shut = false;                 ///< the server reads nothing more from it
-};
-
-/// Counts the requests being answered, so that Stop can wait for them.
-struct http_server::state {
-  http_server_options options;
-  http_handler handler;
-  _u_instance instance{};
-  sockaddr_in address{};
-  uint16_t port = 0;
-  std::atomic<bool> stopping = false;
-  bool stopped = false;
-  std::mutex stop_mutex;
-  std::mutex mutex;
-  std::condition_variable drained;
-  unsigned in_progress = 0;
-  std::mutex sockets_mutex;
-  std::map<int, open_socket> sockets;
-
-  /// @return the socket on which a hang-up of the caller shows, or -1 if it can no longer show
-  int OnRequestBegun(int socket);
-  void OnRequestEnded(int socket);
-  absl::Status Listen();
-  void Drain();
-  bool BeginRequest();
-  void EndRequest();
-  http_response Handle(const _u_request* request) const;
-
-  static int OnRequest(const _u_request* request, _u_response* response, void* self);
-  static void* OnUri(void* self, const char* uri, MHD_Connection* connection);
-  static void OnConnection(void* self, MHD_Connection* connection, void** context,
-                           MHD_ConnectionNotificationCode code);
-  static void OnCompleted(void* self, MHD_Connection* connection, void** context,
-                          MHD_RequestTerminationCode code);
-};
-
-/// ulfius does not pass the connection to its endpoints; this callback runs before them.
-void* http_server::state::OnUri(void* self, const char* uri, MHD_Connection* connection) {
-  connection_socket = static_cast<state*>(self)->OnRequestBegun(SocketOf(connection));
-  return ulfius_uri_logger(nullptr, uri);
-}
-
-void http_server::state::OnConnection(void* self, MHD_Connection* connection, void** /*context*/,
-                                      MHD_ConnectionNotificationCode code) {
-  auto* server = static_cast<state*>(self);
-  int socket = SocketOf(connection);
-  std::lock_guard lock(server->sockets_mutex);
-  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-    server->sockets[socket] = {.idle_since = MonotonicNow()};
-  } else {
-    server->sockets.erase(socket);
+std::string_view ToText(request_refusal refusal) {
+  switch (refusal) {
+    case request_refusal::kBodyTooLarge:
+      return "body_too_large";
+    case request_refusal::kNoMemory:
+      return "no_memory";
+    case request_refusal::kNoConnection:
+      return "no_connection";
   }
-}
-
-int http_server::state::OnRequestBegun(int socket) {
-  std::lock_guard lock(sockets_mutex);
-  auto found = sockets.find(socket);
-  if (found == sockets.end()) {
-    return socket;
-  }
-  found->second.idle_since.reset();
-  // A socket that was shut reads as if the caller had closed it.
-  return found->second.is_shut ? -1 : socket;
-}
-
-void http_server::state::OnRequestEnded(int socket) {
-  std::lock_guard lock(sockets_mutex);
-  auto found = sockets.find(socket);
-  if (found != sockets.end()) {
-    found->second.idle_since = MonotonicNow();
-  }
-}
-
-bool http_server::state::BeginRequest() {
-  std::lock_guard lock(mutex);
-  if (stopping) {
-    return false;
-  }
-  ++in_progress;
-  answering = true;
-  return true;
-}
-
-void http_server::state::EndRequest() {
-  if (!std::exchange(answering, false)) {
-    return;
-  }
-  std::lock_guard lock(mutex);
-  --in_progress;
-  drained.notify_all();
-}
-
-http_response http_server::state::Handle(const _u_request* request) const {
-  if (request->binary_body_length > options.max_body_bytes) {
-    return {.status = kBodyTooLarge, .headers = {}, .body = "body too large\n"};
-  }
-  try {
-    http_request parsed = RequestOf(request);
-    parsed.socket = connection_socket;
-    return handler(parsed);
-  } catch (const std::exception&) {
-    return {.status = kHandlerFailed, .headers = {}, .body = "internal error\n"};
-  } catch (...) {
-    return {.status = kHandlerFailed, .headers = {}, .body = "internal error\n"};
-  }
-}
-
-int http_server::state::OnRequest(const _u_request* request, _u_response* response, void* self) {
-  auto* server = static_cast<state*>(self);
-  if (!server->BeginRequest()) {
-    http_response refusal{
-        .status = kStopping, .headers = {{"connection", "close"}}, .body = "stopping\n"};
-    Answer(refusal, response);
-    return U_CALLBACK_COMPLETE;
-  }
-  http_response answer = server->Handle(request);
-  if (server->stopping) {
-    answer.headers["connection"] = "close";
-  }
-  Answer(answer, response);
-  return U_CALLBACK_COMPLETE;
-}
-
-void http_server::state::OnCompleted(void* self, MHD_Connection* connection, void** context,
-                                     MHD_RequestTerminationCode code) {
-  mhd_request_completed(nullptr, connection, context, code);
-  auto* server = static_cast<state*>(self);
-  server->OnRequestEnded(SocketOf(connection));
-  server->EndRequest();
+  return "unknown";
 }
 
 absl::Status http_server::state::Listen() {
@@ -230,37 +63,28 @@
   if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
     return MakeError(http_error::kListenFailed, "not an IPv4 address: " + options.address);
   }
-  // ulfius refuses port 0; the port inside `address` is the one it binds.
-  constexpr unsigned kPlaceholderPort = 1;
-  unsigned nominal_port = options.port == 0 ? kPlaceholderPort : options.port;
-  if (ulfius_init_instance(&instance, nominal_port, &address, nullptr) != U_OK) {
-    return MakeError(http_error::kListenFailed, "ulfius refused to initialise the instance");
-  }
-  // ulfius truncates larger bodies to this size: one byte over the limit makes them detectable.
-  instance.max_post_body_size = options.max_body_bytes + 1;
-  instance.allowed_post_processor = U_POST_PROCESS_NONE;
-  ulfius_set_default_endpoint(&instance, &state::OnRequest, this);
-
-  std::array<MHD_OptionItem, 7> items{{
-      {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(&state::OnConnection), this},
-      {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&state::OnCompleted), this},
-      {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&state::OnUri), this},
-      {MHD_OPTION_SOCK_ADDR, 0, &address},
-      {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options.max_connections), nullptr},
-      {MHD_OPTION_CONNECTION_TIMEOUT, kIdleConnectionSeconds, nullptr},
-      {MHD_OPTION_END, 0, nullptr},
-  }};
+  // Connections that libmicrohttpd closes for inactivity would be closed by `connections` too.
+  duration longest = std::max({options.header_timeout, options.body_timeout, options.idle_timeout});
+  std::array<MHD_OptionItem, 10> items{
+      {Option(MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(&state::OnConnection), this),
+       Option(MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&state::OnCompleted), this),
+       Option(MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&state::OnUri), this),
+       Option(MHD_OPTION_SOCK_ADDR, 0, &address),
+       Option(MHD_OPTION_CONNECTION_LIMIT, options.max_connections + kMaxClosing),
+       Option(MHD_OPTION_CONNECTION_TIMEOUT, WholeSeconds(longest) + 1),
+       Option(MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionPoolBytes),
+       Option(MHD_OPTION_THREAD_STACK_SIZE, kThreadStackBytes),
+       Option(MHD_OPTION_LISTEN_BACKLOG_SIZE, kMaxBacklog), Option(MHD_OPTION_END, 0)}};
   constexpr unsigned kFlags =
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL_INTERNAL_THREAD | MHD_USE_ITC;
-  if (ulfius_start_framework_with_mhd_options(&instance, kFlags, items.data()) != U_OK) {
-    ulfius_clean_instance(&instance);
+  daemon = MHD_start_daemon(kFlags, options.port, &state::OnAccept, this, &state::OnRequest, this,
+                            MHD_OPTION_ARRAY, items.data(), MHD_OPTION_END);
+  if (daemon == nullptr) {
     return MakeError(http_error::kListenFailed,
                      "cannot listen on " + options.address + ":" + std::to_string(options.port));
   }
-  int listener = MHD_get_daemon_info(instance.mhd_daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
-  // A caller that only checks whether the port is open then occupies no thread.
-  setsockopt(listener, IPPROTO_TCP, TCP_DEFER_ACCEPT, &kDeferAcceptSeconds,
-             sizeof(kDeferAcceptSeconds));
+  int listener = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
+  SetSocketOptions(listener);
   sockaddr_in bound{};
   socklen_t length = sizeof(bound);
   VERIFY(getsockname(listener, reinterpret_cast<sockaddr*>(&bound), &length) == 0);
@@ -268,15 +92,24 @@
   return absl::OkStatus();
 }
 
+/// Connections inherit the sizes of their buffers from the listener.
+void http_server::state::SetSocketOptions(int listener) const {
+  // A caller that only checks whether the port is open then occupies no thread.
+  setsockopt(listener, IPPROTO_TCP, TCP_DEFER_ACCEPT, &kDeferAcceptSeconds,
+             sizeof(kDeferAcceptSeconds));
+  for (int option : {SO_RCVBUF, SO_SNDBUF}) {
+    setsockopt(listener, SOL_SOCKET, option, &kSocketBufferBytes, sizeof(kSocketBufferBytes));
+  }
+}
+
 void http_server::state::Drain() {
-  int listener = MHD_quiesce_daemon(instance.mhd_daemon);
+  int listener = MHD_quiesce_daemon(daemon);
   {
     std::unique_lock lock(mutex);
     stopping = true;
     drained.wait_for(lock, options.drain_timeout, [this] { return in_progress == 0; });
   }
-  ulfius_stop_framework(&instance);
-  ulfius_clean_instance(&instance);
+  MHD_stop_daemon(daemon);
   if (listener >= 0) {
     close(listener);
   }
@@ -285,9 +118,13 @@
 absl::StatusOr<std::unique_ptr<http_server>> http_server::Start(http_server_options options,
                                                                 http_handler handler) {
   InitialiseHttpOnce();
-  auto fresh = std::make_unique<state>();
-  fresh->options = std::move(options);
-  fresh->handler = std::move(handler);
+  if (options.memory == nullptr) {
+    options.memory = std::make_shared<request_memory>(request_memory_options{});
+  }
+  if (!options.hooks.refuse) {
+    options.hooks.refuse = &PlainRefusal;
+  }
+  auto fresh = std::make_unique<state>(std::move(options), std::move(handler));
   absl::Status listening = fresh->Listen();
   if (!listening.ok()) {
     return listening;
@@ -302,15 +139,7 @@
 uint16_t http_server::port() const { return state_->port; }
 
 void http_server::CloseIdleConnections(duration idle_for) {
-  instant idle_since = MonotonicNow() - idle_for;
-  std::lock_guard lock(state_->sockets_mutex);
-  for (auto& [socket, connection] : state_->sockets) {
-    bool is_idle = connection.idle_since.has_value() && *connection.idle_since <= idle_since;
-    if (is_idle && !std::exchange(connection.is_shut, true)) {
-      // The connection's thread still reads and answers what has arrived, then closes the socket.
-      shutdown(socket, SHUT_RD);
-    }
-  }
+  state_->connections.CloseIdle(idle_for);
 }
 
 void http_server::Stop() {
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -2,25 +2,57 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "absl/status/statusor.h"
 #include "base/time.h"
+#include "http/connection_table.h"
 #include "http/http_message.h"
+#include "http/request_memory.h"
 
 namespace wagtail {
 
+/// Why a server refused a request, or a connection, without calling the handler.
+enum class request_refusal {
+  kBodyTooLarge,  ///< answered 413
+  kNoMemory,      ///< answered 503
+  kNoConnection,  ///< the connection was closed without an answer
+};
+std::string_view ToText(request_refusal refusal);
+
+/// Where a server's behaviour varies; called from several threads.
+struct http_server_hooks {
+  /// @return the limit for bodies now; the lower one of it and http_server_options::max_body_bytes
+  ///   holds
+  std::function<size_t()> max_body_bytes{};
+  /// @return the answer to a request that is refused with this status and name of the error
+  std::function<http_response(int status, std::string_view error)> refuse{};
+  std::function<void(request_refusal)> refused = [](request_refusal) {};
+  std::function<void(closing_reason)> closed = [](closing_reason) {};
+  /// @param change 1 for a new connection, -1 for one that ended
+  std::function<void(int change)> connections_changed = [](int) {};
+};
+
 struct http_server_options {
   std::string address = "127.0.0.1";  ///< IPv4 address to listen on
   uint16_t port = 0;                  ///< 0 takes an ephemeral port
   size_t max_body_bytes = 4 << 20;    ///< larger requests are answered 413
-  unsigned max_connections = 512;     ///< further ones are closed without an answer
+  /// At the limit, the connection that has gone longest without completing a request gives way.
+  unsigned max_connections = 512;
   duration drain_timeout =
       std::chrono::seconds(30);  ///< how long Stop waits for requests in progress
+  duration header_timeout = connection_limits{}.header_timeout;  ///< from the request line on
+  duration body_timeout = connection_limits{}.body_timeout;      ///< also for sending an answer
+  duration idle_timeout = connection_limits{}.idle_timeout;
+  /// Budget for bodies, may be shared by servers; one of its own by default.
+  std::shared_ptr<request_memory> memory{};
+  http_server_hooks hooks{};
 };
 
-/// HTTP server on ulfius with one handler for all paths and one thread per connection.
+/// HTTP server on libmicrohttpd with one handler for all paths and one thread per connection.
 class http_server {
  public:
   /// Starts listening.
--- /dev/null
+++ b/tests/http/connection_table_test.cc
@@ -0,0 +1,118 @@
+#include "http/connection_table.h"
+
+// Last: CppUTest's macros must not reach the library headers.
+#include <CppUTest/TestHarness.h>
+
+namespace wagtail {
+namespace {
+
+instant At(int64_t seconds) { return instant(std::chrono::seconds(seconds)); }
+
+}  // namespace
+
+TEST_GROUP(ConnectionTable) {
+  connection_table table{{.max_connections = 3,
+                          .header_timeout = std::chrono::seconds(10),
+                          .body_timeout = std::chrono::seconds(30),
+                          .idle_timeout = std::chrono::seconds(60)}};
+};
+
+// Clients that held their connections without completing a request kept out everyone else.
+TEST(ConnectionTable, AtTheLimitTheLongestWithoutACompletedRequestGivesWay) {
+  table.Open(1, At(0));
+  table.Open(2, At(1));
+  table.Open(3, At(2));
+  CHECK(table.Enter(2, connection_phase::kBody, At(3)));
+  table.Complete(1, At(4));
+  auto first = table.Admit();
+  CHECK(first.accepted);
+  CHECK_EQUAL(2, first.displaced->socket);
+  CHECK(first.displaced->reason == closing_reason::kConnections);
+  // It does not count any more, although it has not ended yet.
+  table.Open(4, At(5));
+  auto second = table.Admit();
+  CHECK_EQUAL(3, second.displaced->socket);
+}
+
+TEST(ConnectionTable, BelowTheLimitNothingGivesWay) {
+  table.Open(1, At(0));
+  table.Open(2, At(0));
+  CHECK(table.Admit().accepted);
+  CHECK_FALSE(table.Admit().displaced.has_value());
+}
+
+// A job that has begun must not lose its caller to a new connection.
+TEST(ConnectionTable, AHandlerAtWorkIsNeverClosed) {
+  for (int socket : {1, 2, 3}) {
+    table.Open(socket, At(0));
+    CHECK(table.Enter(socket, connection_phase::kHandling, At(0)));
+  }
+  auto admission = table.Admit();
+  CHECK_FALSE(admission.accepted);
+  CHECK_FALSE(admission.displaced.has_value());
+  CHECK(table.TakeOverdue(At(100000)).empty());
+}
+
+TEST(ConnectionTable, EachPhaseHasItsLimitOfTime) {
+  struct limit {
+    connection_phase phase;
+    int64_t seconds;
+    closing_reason reason;
+  };
+  for (limit each : {limit{connection_phase::kIdle, 60, closing_reason::kIdleTime},
+                     limit{connection_phase::kHeader, 10, closing_reason::kHeaderTime},
+                     limit{connection_phase::kBody, 30, closing_reason::kBodyTime},
+                     limit{connection_phase::kAnswering, 30, closing_reason::kBodyTime}}) {
+    table.Open(1, At(0));
+    CHECK(table.Enter(1, each.phase, At(5)));
+    CHECK(table.TakeOverdue(At(5 + each.seconds - 1)).empty());
+    auto overdue = table.TakeOverdue(At(5 + each.seconds));
+    CHECK_EQUAL(1, overdue.size());
+    CHECK(overdue[0].reason == each.reason);
+    CHECK(table.TakeOverdue(At(1000)).empty());
+  }
+}
+
+// A peer that sends a byte now and then is never inactive, but its body takes forever.
+TEST(ConnectionTable, TheTimeOfABodyRunsFromItsHeader) {
+  table.Open(1, At(0));
+  CHECK(table.Enter(1, connection_phase::kHeader, At(50)));
+  CHECK(table.Enter(1, connection_phase::kBody, At(55)));
+  CHECK(table.TakeOverdue(At(84)).empty());
+  CHECK_EQUAL(1, table.TakeOverdue(At(85)).size());
+}
+
+// Otherwise a request could be handled whose caller was just cut off.
+TEST(ConnectionTable, AConnectionBeingClosedMayNotGoOn) {
+  table.Open(1, At(0));
+  CHECK(table.Enter(1, connection_phase::kBody, At(0)));
+  CHECK_EQUAL(1, table.TakeOverdue(At(40)).size());
+  CHECK_FALSE(table.Enter(1, connection_phase::kHandling, At(40)));
+  table.Remove(1);
+  CHECK_EQUAL(0, table.size());
+}
+
+TEST(ConnectionTable, TheSlowestBodyGivesWayToOthersAfterTheGrace) {
+  constexpr duration kGrace = std::chrono::seconds(2);
+  table.Open(1, At(0));
+  table.Open(2, At(0));
+  CHECK(table.Enter(1, connection_phase::kBody, At(11)));
+  CHECK(table.Enter(2, connection_phase::kBody, At(10)));
+  CHECK_FALSE(table.TakeSlowestBody(At(12), kGrace).has_value());
+  CHECK_EQUAL(2, table.TakeSlowestBody(At(13), kGrace)->socket);
+  CHECK_FALSE(table.TakeSlowestBody(At(13), kGrace).has_value());
+  CHECK_EQUAL(1, table.TakeSlowestBody(At(14), kGrace)->socket);
+}
+
+TEST(ConnectionTable, NamesIdleConnectionsOnce) {
+  table.Open(1, At(0));
+  table.Open(2, At(0));
+  CHECK(table.Enter(2, connection_phase::kHandling, At(1)));
+  auto idle = table.TakeIdle(At(5), std::chrono::seconds(5));
+  CHECK_EQUAL(1, idle.size());
+  CHECK(table.IsReadShut(1));
+  CHECK_FALSE(table.IsReadShut(2));
+  CHECK(table.TakeIdle(At(6), std::chrono::seconds(5)).empty());
+}
+
+}  // namespace wagtail
