Derive the limits on HTTP clients from the memory and descriptors of the process

Cause: every server accepted 1,500 connections whatever the VM's memory and descriptors, the queue's limit for bodies was checked once they were in memory, trees of JSON took up to ninety times their text for any number of requests at once, and the allocator kept what was freed in an arena per thread.

Change: platform/http_limits derives connections and a shared budget for bodies from limits.memory_mb and limits.max_fds; http.* settings replace them. platform/http_listeners starts the servers, counts and logs what the limits refuse or close. The front server's limit follows the plan. platform/bounded_decoder decodes bodies over 16 KiB one at a time, and refuses those whose tree would take more than a third of the memory.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -45,13 +45,13 @@
 
 }  // namespace
 
-std::string_view ToText(request_refusal refusal) {
+std::string_view ToText(http_refusal refusal) {
   switch (refusal) {
-    case request_refusal::kBodyTooLarge:
+    case http_refusal::kBodyTooLarge:
       return "body_too_large";
-    case request_refusal::kNoMemory:
+    case http_refusal::kNoMemory:
       return "no_memory";
-    case request_refusal::kNoConnection:
+    case http_refusal::kNoConnection:
       return "no_connection";
   }
   return "unknown";
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -16,12 +16,12 @@
 namespace wagtail {
 
 /// Why a server refused a request, or a connection, without calling the handler.
-enum class request_refusal {
+enum class http_refusal {
   kBodyTooLarge,  ///< answered 413
   kNoMemory,      ///< answered 503
   kNoConnection,  ///< the connection was closed without an answer
 };
-std::string_view ToText(request_refusal refusal);
+std::string_view ToText(http_refusal refusal);
 
 /// Where a server's behaviour varies; called from several threads.
 struct http_server_hooks {
@@ -30,7 +30,7 @@
   std::function<size_t()> max_body_bytes{};
   /// @return the answer to a request that is refused with this status and name of the error
   std::function<http_response(int status, std::string_view error)> refuse{};
-  std::function<void(request_refusal)> refused = [](request_refusal) {};
+  std::function<void(http_refusal)> refused = [](http_refusal) {};
   std::function<void(closing_reason)> closed = [](closing_reason) {};
   /// @param change 1 for a new connection, -1 for one that ended
   std::function<void(int change)> connections_changed = [](int) {};
--- a/libraries/http/http_server_state.cc
+++ b/libraries/http/http_server_state.cc
@@ -22,7 +22,7 @@
   if (server->connections.Admit()) {
     return MHD_YES;
   }
-  server->options.hooks.refused(request_refusal::kNoConnection);
+  server->options.hooks.refused(http_refusal::kNoConnection);
   return MHD_NO;
 }
 
@@ -94,11 +94,11 @@
 
 void http_server::state::NoteRefusal(body_verdict verdict) {
   if (verdict == body_verdict::kTooLarge) {
-    options.hooks.refused(request_refusal::kBodyTooLarge);
+    options.hooks.refused(http_refusal::kBodyTooLarge);
     return;
   }
   connections.CloseSlowestBody();
-  options.hooks.refused(request_refusal::kNoMemory);
+  options.hooks.refused(http_refusal::kNoMemory);
 }
 
 MHD_Result http_server::state::Refuse(MHD_Connection* connection, request_exchange& exchange) {
--- a/services/agentd/agent_service.cc
+++ b/services/agentd/agent_service.cc
@@ -69,6 +69,7 @@
 
 agent_service::agent_service(const platform::node_settings& settings)
     : settings_(settings),
+      listeners_(settings, metrics_),
       results_(&metrics_.Counters("wagtail_agent_results_total", "Final results of orders.")),
       run_seconds_(&metrics_.Histograms("wagtail_agent_run_seconds",
                                         "Durations of runs that were done.", kRunSecondsBounds)) {
@@ -97,9 +98,10 @@
     LoadTarget();
     Tick();
   });
-  control_server_ = TRY(platform::ServeAt(
-      settings_.control, [this](const http_request& request) { return AnswerControl(request); }));
-  metrics_server_ = TRY(platform::ServeMetrics(settings_.ip, metrics_));
+  control_server_ =
+      TRY(listeners_.Serve({.name = "control", .address = settings_.control},
+                           [this](const http_request& request) { return AnswerControl(request); }));
+  metrics_server_ = TRY(listeners_.ServeMetrics(settings_.ip));
   return absl::OkStatus();
 }
 
@@ -287,7 +289,12 @@
 }
 
 http_response agent_service::AnswerControl(const http_request& request) {
-  absl::StatusOr<platform::control_request> read = platform::ReadControlRequest(request);
+  absl::StatusOr<platform::control_request> read;
+  absl::Status decoded =
+      listeners_.decoder().Run(request.body, [&] { read = platform::ReadControlRequest(request); });
+  if (!decoded.ok()) {
+    read = decoded;
+  }
   if (!read.ok()) {
     LogFact(log_level::kWarning, "announcement_refused", {{"error", MessageOf(read.status())}});
     return platform::RefuseControlRequest();
--- a/services/agentd/agent_service.h
+++ b/services/agentd/agent_service.h
@@ -10,6 +10,7 @@
 #include "leases/run_controller.h"
 #include "metrics/metrics_registry.h"
 #include "plan/newest_plan.h"
+#include "platform/http_listeners.h"
 #include "platform/node_settings.h"
 #include "platform/store_client.h"
 #include "platform/target_calls.h"
@@ -50,6 +51,7 @@
 
   platform::node_settings settings_;
   metrics_registry metrics_;
+  platform::http_listeners listeners_;
   family<counter>* results_;
   family<histogram>* run_seconds_;
   event_loop loop_;
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <thread>
 #include <utility>
 
@@ -53,6 +54,7 @@
 
 dispatch_service::dispatch_service(const platform::node_settings& settings)
     : settings_(settings),
+      listeners_(settings, metrics_),
       answers_(&metrics_.Counters("wagtail_entry_answers_total", "Answers to jobs.")),
       answer_seconds_(&metrics_.Histograms("wagtail_entry_answer_seconds",
                                            "Time from a job's arrival to its answer.",
@@ -87,28 +89,40 @@
     FollowStore();
     Tick();
   });
-  ready_server_ = TRY(platform::ServeAt(
-      settings_.ready, [this](const http_request& /*request*/) { return AnswerReadiness(); }));
-  front_server_ = TRY(platform::ServeAt(settings_.front, [this](const http_request& request) {
-    ++requests_in_progress_;
-    http_response response = RunFrontFilters(filters_, request);
-    last_request_ = BootTimeNow();
-    --requests_in_progress_;
-    if (ShouldCloseConnection()) {
-      response.headers["connection"] = "close";
-    }
-    return response;
-  }));
+  using platform::http_listeners;
+  ready_server_ = TRY(listeners_.Serve(
+      {.name = "ready", .address = settings_.ready, .connections = http_listeners::use::kSide},
+      [this](const http_request& /*request*/) { return AnswerReadiness(); }));
+  front_server_ =
+      TRY(listeners_.Serve({.name = "front",
+                            .address = settings_.front,
+                            .max_body_bytes = [this] { return MaxBodyBytes(); }},
+                           [this](const http_request& request) { return AnswerCaller(request); }));
   if (!settings_.control.empty()) {
     // Targets announce themselves to the agent on their own VM, never to an entry.
-    control_server_ = TRY(platform::ServeAt(settings_.control, [](const http_request& /*request*/) {
-      return http_response{.status = kUnavailable, .headers = {}, .body = "{}"};
-    }));
+    control_server_ = TRY(listeners_.Serve(
+        {.name = "control",
+         .address = settings_.control,
+         .connections = http_listeners::use::kSide},
+        [](const http_request& /*request*/) {
+          return http_response{.status = kUnavailable, .headers = {}, .body = "{}"};
+        }));
   }
-  metrics_server_ = TRY(platform::ServeMetrics(settings_.ip, metrics_));
+  metrics_server_ = TRY(listeners_.ServeMetrics(settings_.ip));
   return absl::OkStatus();
 }
 
+http_response dispatch_service::AnswerCaller(const http_request& request) {
+  ++requests_in_progress_;
+  http_response response = RunFrontFilters(filters_, request);
+  last_request_ = BootTimeNow();
+  --requests_in_progress_;
+  if (ShouldCloseConnection()) {
+    response.headers["connection"] = "close";
+  }
+  return response;
+}
+
 absl::Status dispatch_service::ListenForAgents() {
   return connection_listener::Listen(
       loop_, settings_.SessionAddress(settings_.ip),
@@ -286,6 +300,11 @@
                          .queue = queue == nullptr ? std::nullopt : std::optional(*queue)};
     });
   };
+  hooks.decode = [this](std::string_view body) -> absl::StatusOr<platform::job_body> {
+    absl::StatusOr<platform::job_body> job;
+    TRY(listeners_.decoder().Run(body, [&] { job = platform::ReadJob(body); }));
+    return job;
+  };
   hooks.submit = [this](front_request& request) { return Submit(request); };
   hooks.cancel = [this](front_request& request) { return Cancel(request); };
   hooks.state = [this](front_request& request) { return JobState(request); };
@@ -296,6 +315,13 @@
   return shared_plan_.Read([](const operating_plan& plan) { return plan.version > 0; });
 }
 
+size_t dispatch_service::MaxBodyBytes() const {
+  return shared_plan_.Read([](const operating_plan& plan) {
+    // Before the first plan the limit of the customer is not known; the queue's filter checks it.
+    return plan.version > 0 ? plan.max_body_bytes : std::numeric_limits<size_t>::max();
+  });
+}
+
 std::optional<duration> dispatch_service::AwaitPlan(duration deadline) {
   if (HasPlan()) {
     return duration::zero();
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -11,6 +11,7 @@
 #include "http/http_server.h"
 #include "metrics/metrics_registry.h"
 #include "plan/newest_plan.h"
+#include "platform/http_listeners.h"
 #include "platform/node_settings.h"
 #include "platform/store_client.h"
 #include "rpc/connection_listener.h"
@@ -71,7 +72,10 @@
   std::vector<std::string> KnownEntries() const;
 
   front_hooks FrontHooks();
+  http_response AnswerCaller(const http_request& request);
   bool HasPlan() const;
+  /// @return the largest body that callers may send
+  size_t MaxBodyBytes() const;
   std::optional<duration> AwaitPlan(duration deadline);
   http_response Submit(front_request& request);
   void AdmitArrivals();
@@ -83,6 +87,7 @@
 
   platform::node_settings settings_;
   metrics_registry metrics_;
+  platform::http_listeners listeners_;
   family<counter>* answers_;
   family<histogram>* answer_seconds_;
   snapshot_cell<operating_plan> shared_plan_;  ///< read by the connection threads
--- a/services/dispatchd/front_filters.cc
+++ b/services/dispatchd/front_filters.cc
@@ -57,11 +57,11 @@
   return std::nullopt;
 }
 
-std::optional<http_response> DecodeJob(front_request& request) {
+std::optional<http_response> DecodeJob(const front_hooks& hooks, front_request& request) {
   if (request.http->method != "POST") {
     return std::nullopt;
   }
-  absl::StatusOr<platform::job_body> job = platform::ReadJob(request.http->body);
+  absl::StatusOr<platform::job_body> job = hooks.decode(request.http->body);
   if (!job.ok()) {
     bool unsupported =
         ErrorOf<platform::platform_error>(job.status()) == platform::platform_error::kUnsupported;
@@ -107,7 +107,7 @@
   });
   filters.emplace_back([hooks](front_request& request) { return FindQueue(hooks, request); });
   filters.emplace_back(CheckShape);
-  filters.emplace_back(DecodeJob);
+  filters.emplace_back([hooks](front_request& request) { return DecodeJob(hooks, request); });
   filters.emplace_back([hooks](front_request& request) -> std::optional<http_response> {
     const std::string& method = request.http->method;
     if (method == "POST") {
--- a/services/dispatchd/front_filters.h
+++ b/services/dispatchd/front_filters.h
@@ -8,6 +8,7 @@
 
 #include "http/http_message.h"
 #include "plan/operating_plan.h"
+#include "platform/job_json.h"
 #include "scheduler/scheduler_events.h"
 
 namespace wagtail::leased {
@@ -45,6 +46,9 @@
   /// @param deadline how long the caller waits
   /// @return how long the wait took, or nothing if there is still no plan
   std::function<std::optional<duration>(duration deadline)> await_plan;
+  /// Decodes the body of a job.
+  std::function<absl::StatusOr<platform::job_body>(std::string_view body)> decode =
+      platform::ReadJob;
   std::function<http_response(front_request&)> submit;
   std::function<http_response(front_request&)> cancel;
   std::function<http_response(front_request&)> state;
--- a/tests/http/request_memory_test.cc
+++ b/tests/http/request_memory_test.cc
@@ -41,6 +41,7 @@
   std::atomic<bool> exceeded = false;
   {
     std::vector<std::jthread> threads;
+    threads.reserve(4);
     for (int thread = 0; thread < 4; ++thread) {
       threads.emplace_back([&] {
         for (int round = 0; round < 20000; ++round) {
--- a/tests/http/untrusted_client_test.cc
+++ b/tests/http/untrusted_client_test.cc
@@ -85,7 +85,7 @@
 
   std::unique_ptr<http_server> Serve(http_server_options options) {
     options.memory = memory;
-    options.hooks.refused = [this](request_refusal why) { ++refused[static_cast<int>(why)]; };
+    options.hooks.refused = [this](http_refusal why) { ++refused[static_cast<int>(why)]; };
     options.hooks.closed = [this](closing_reason why) { ++closed[static_cast<int>(why)]; };
     auto server = http_server::Start(std::move(options), [this](const http_request& request) {
       ++handled;
@@ -96,7 +96,7 @@
     return *std::move(server);
   }
   int Closed(closing_reason why) const { return closed[static_cast<int>(why)]; }
-  int Refused(request_refusal why) const { return refused[static_cast<int>(why)]; }
+  int Refused(http_refusal why) const { return refused[static_cast<int>(why)]; }
   void AwaitHeld(size_t bytes) const {
     while (memory->held_bytes() != bytes) {
       std::this_thread::sleep_for(std::chrono::milliseconds(1));
@@ -115,7 +115,7 @@
   std::string answer = expecting.ReceiveAll();
   STRCMP_CONTAINS("413", answer.c_str());
   CHECK(answer.find("100 Continue") == std::string::npos);
-  CHECK_EQUAL(2, Refused(request_refusal::kBodyTooLarge));
+  CHECK_EQUAL(2, Refused(http_refusal::kBodyTooLarge));
   CHECK_EQUAL(0, handled);
 }
 
@@ -156,7 +156,7 @@
   raw_client small(server->port());
   small.Send(Head(10 << 10, "Connection: close\r\n") + std::string(10 << 10, 'x'));
   STRCMP_CONTAINS("200", small.ReceiveAll().c_str());
-  CHECK_EQUAL(1, Refused(request_refusal::kNoMemory));
+  CHECK_EQUAL(1, Refused(http_refusal::kNoMemory));
   CHECK_EQUAL(1, handled);
 }
 
