Answer 413 to a chunked body that never fits into the budget

Cause: while a chunked body grows, its old and its new buffer are counted. On VMs below about 80 MB a body of 4 MiB would get 503 each time it is sent.

Change: if both buffers would not fit into the empty budget, the body is too large.

--- a/libraries/http/request_body.cc
+++ b/libraries/http/request_body.cc
@@ -42,7 +42,8 @@
   }
   if (!Grow(text_.size() + part.size())) {
     discarded_bytes_ = part.size();
-    return Refuse(body_verdict::kNoMemory);
+    return Refuse(needs_bytes_ > memory_.largest_body_bytes() ? body_verdict::kTooLarge
+                                                              : body_verdict::kNoMemory);
   }
   text_.append(part);
   return verdict_;
@@ -66,6 +67,7 @@
   size_t larger = std::max({bytes, 2 * reserved_bytes_, kFirstBufferBytes});
   // Doubling may not take the last allowed size out of the part for small bodies or over the limit.
   larger = std::max(bytes, std::min(larger, max_bytes_));
+  needs_bytes_ = reserved_bytes_ + larger;
   if (!memory_.Reserve(larger)) {
     return false;
   }
--- a/libraries/http/request_body.h
+++ b/libraries/http/request_body.h
@@ -12,7 +12,7 @@
 /// What becomes of a body after its length or a part of it is known.
 enum class body_verdict {
   kAccepted,
-  kTooLarge,  ///< over the limit of the server
+  kTooLarge,  ///< over the limit of the server, or larger than the whole budget
   kNoMemory,  ///< does not fit into the budget now
 };
 
@@ -46,6 +46,7 @@
   request_memory& memory_;
   const size_t max_bytes_;
   size_t reserved_bytes_ = 0;
+  size_t needs_bytes_ = 0;  ///< by the last growth: the old buffer and the new one
   size_t discarded_bytes_ = 0;
   body_verdict verdict_ = body_verdict::kAccepted;
   std::string text_{};
--- a/tests/http/request_body_test.cc
+++ b/tests/http/request_body_test.cc
@@ -70,6 +70,18 @@
   memory.Release(70 << 10);
 }
 
+TEST(RequestBody, ABodyWithoutLengthThatNeverFitsIsTooLarge) {
+  request_body body(memory, 1 << 20);
+  CHECK(body.Begin(std::nullopt) == body_verdict::kAccepted);
+  std::string part(1 << 10, 'x');
+  body_verdict verdict = body_verdict::kAccepted;
+  for (int parts = 0; parts < 90; ++parts) {
+    verdict = body.Append(part);
+  }
+  CHECK(verdict == body_verdict::kTooLarge);
+  CHECK_EQUAL(0, memory.held_bytes());
+}
+
 // The announced length is reserved in the budget, but a peer that sends nothing must cost no
 // memory.
 TEST(RequestBody, AllocatesNothingBeforeTheFirstByte) {
