Place begun jobs before all others where queues differ in priority

Cause: begun jobs waited for their last tasks behind jobs with an earlier latest start until their callers' deadlines; their work was thrown away. Change: the overload policy orders begun jobs first.

--- a/libraries/scheduler/overload_policy.cc
+++ b/libraries/scheduler/overload_policy.cc
@@ -63,7 +63,7 @@
     std::iota(order_.begin(), order_.end(), size_t{0});
     std::ranges::sort(order_, {}, [this](size_t index) {
       const waiting_job& job = jobs_[index];
-      return std::tuple(job.latest_start, job.priority, job.id);
+      return std::tuple(!job.begun, job.latest_start, job.priority, job.id);
     });
     is_delayed_.assign(jobs_.size(), false);
   }
