State the bound of discarded bytes once

Cause: kMaxDiscardedBytes stood in two files; request_exchange::Take set a socket that its only caller replaced; two comments were figurative. Change: one constant in request_exchange.h, Take leaves the socket to the caller, comments reworded, missing <utility> included. No change of behaviour.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -28,7 +28,7 @@
 /// does not take. The kernel doubles it. At half the size, reading a body of 262,144 bytes takes
 /// three times the processor time.
 constexpr int kSocketBufferBytes = 64 << 10;
-/// Connections that may be on their way out beside max_connections.
+/// Connections that are being closed and may still exist in addition to max_connections.
 constexpr unsigned kMaxClosing = 64;
 constexpr unsigned kMaxBacklog = 256;
 
--- a/libraries/http/http_server_state.cc
+++ b/libraries/http/http_server_state.cc
@@ -11,8 +11,6 @@
 constexpr int kBodyTooLarge = 413;
 constexpr int kHandlerFailed = 500;
 constexpr int kUnavailable = 503;
-/// Bytes of a refused body that are discarded before its connection is closed.
-constexpr size_t kMaxDiscardedBytes = 4 << 20;
 
 }  // namespace
 
--- a/libraries/http/http_server_state.h
+++ b/libraries/http/http_server_state.h
@@ -7,6 +7,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <string_view>
+#include <utility>
 
 #include "absl/status/status.h"
 #include "http/http_server.h"
@@ -15,8 +16,8 @@
 
 namespace wagtail {
 
-/// A running server: its life is in http_server.cc, libmicrohttpd's callbacks in
-/// http_server_state.cc. Counts the requests being answered, so that Stop can wait for them.
+/// A running server: http_server.cc starts and stops it, http_server_state.cc has the callbacks of
+/// libmicrohttpd. Counts the requests being answered, so that Stop can wait for them.
 struct http_server::state {
   state(http_server_options chosen, http_handler answer)
       : options(std::move(chosen)),
--- a/libraries/http/request_exchange.cc
+++ b/libraries/http/request_exchange.cc
@@ -17,7 +17,6 @@
 namespace wagtail {
 namespace {
 
-constexpr size_t kMaxDiscardedBytes = 4 << 20;
 constexpr duration kMaxDiscardTime = std::chrono::seconds(1);
 
 MHD_Result AddField(void* fields, MHD_ValueKind /*kind*/, const char* key, const char* value) {
@@ -77,8 +76,7 @@
           .path = PercentDecoded(std::string_view(uri_).substr(0, uri_.find('?'))),
           .query = FieldsOf(connection, MHD_GET_ARGUMENT_KIND),
           .headers = FieldsOf(connection, MHD_HEADER_KIND),
-          .body = body_->Take(),
-          .socket = SocketOf(connection)};
+          .body = body_->Take()};
 }
 
 MHD_Result QueueAnswer(MHD_Connection* connection, http_response answer) {
--- a/libraries/http/request_exchange.h
+++ b/libraries/http/request_exchange.h
@@ -5,12 +5,16 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "http/http_message.h"
 #include "http/request_body.h"
 
 namespace wagtail {
 
+/// Bytes of a refused body that are discarded before its connection is closed.
+inline constexpr size_t kMaxDiscardedBytes = 4 << 20;
+
 /// One request of a connection, from its request line to its answer. Used by the connection's
 /// thread only.
 class request_exchange {
@@ -23,7 +27,7 @@
   bool has_body_begun() const { return body_.has_value(); }
   request_body& body() { return *body_; }
 
-  /// @return the complete request with its body
+  /// @return the complete request with its body, without its socket
   http_request Take(MHD_Connection* connection, const char* method);
 
   bool is_refused = false;  ///< answered before its body had arrived, or over a limit
