Describe the order in which the overload policy delays jobs as it is

Cause: the comment of MakeOverloadPolicy left out usefulness and the weighted loss, which come before the priority; RefuseHopeless was figurative and its comment left out new jobs; a local struct in Place had the name of overload_policy's waiting_job. Change: comments follow DelayRank; RefuseUnservable; placement_candidate; includes of queue_history. No change of behaviour.

--- a/libraries/scheduler/job_overload.cc
+++ b/libraries/scheduler/job_overload.cc
@@ -113,7 +113,7 @@
   const std::string& service = candidate.submission.queue.service;
   history_.OnArrived(candidate.submission.queue.name, work);
   if (must_wait) {
-    RefuseHopeless(service, now);
+    RefuseUnservable(service, now);
   }
   auto admitted = jobs_.find(id);
   if (admitted != jobs_.end()) {
@@ -124,8 +124,8 @@
   }
 }
 
-void job_scheduler::RefuseHopeless(const std::string& service, instant now) {
-  std::vector<planned_job> hopeless;
+void job_scheduler::RefuseUnservable(const std::string& service, instant now) {
+  std::vector<planned_job> unservable;
   bool awaits_targets = AwaitsTargets(now);
   for (const planned_job& planned : PlanJobs(service, now)) {
     if (awaits_targets && now <= LastStart(*planned.owner, now)) {
@@ -133,11 +133,11 @@
     }
     SetDelayed(planned);
     if (planned.verdict == service_class::kRefused) {
-      hopeless.push_back(planned);
+      unservable.push_back(planned);
     }
   }
-  duration backlog = hopeless.empty() ? duration::zero() : Backlog(service, now);
-  for (const planned_job& planned : hopeless) {
+  duration backlog = unservable.empty() ? duration::zero() : Backlog(service, now);
+  for (const planned_job& planned : unservable) {
     job& owner = *planned.owner;
     bool is_new = !owner.is_accepted;
     if (!is_new && PlaceLate(owner, now)) {
--- a/libraries/scheduler/job_placement.cc
+++ b/libraries/scheduler/job_placement.cc
@@ -15,7 +15,7 @@
 namespace wagtail::leased {
 
 void job_scheduler::Place(instant now) {
-  struct waiting_job {
+  struct placement_candidate {
     bool late = false;  ///< can no longer meet its objective: placed after those that can
     instant latest_start;
     unsigned priority = 0;
@@ -25,7 +25,7 @@
   if (waiting_ == 0) {
     return;
   }
-  std::vector<waiting_job> waiting;
+  std::vector<placement_candidate> waiting;
   PlaceByPolicy(now);
   for (auto& [id, owner] : jobs_) {
     if (owner.waiting > 0 && !IsPrioritized(owner)) {
@@ -36,12 +36,12 @@
                          .owner = &owner});
     }
   }
-  std::ranges::sort(waiting, {}, [](const waiting_job& item) {
+  std::ranges::sort(waiting, {}, [](const placement_candidate& item) {
     return std::tuple(item.late, item.latest_start, item.priority,
                       std::string_view(item.owner->submission.id));
   });
   bool capacity_left = true;
-  for (const waiting_job& item : waiting) {
+  for (const placement_candidate& item : waiting) {
     if (!capacity_left) {
       break;
     }
--- a/libraries/scheduler/job_scheduler.cc
+++ b/libraries/scheduler/job_scheduler.cc
@@ -287,7 +287,7 @@
     Answer(id, answer);
   }
   for (const auto& [service, highest] : prioritized_services_) {
-    RefuseHopeless(service, now);
+    RefuseUnservable(service, now);
   }
 }
 
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -190,8 +190,10 @@
   waiting_job WaitingJob(const job& owner, instant now) const;
   overload_capacity CapacityFor(std::string_view service, instant now) const;
   void SetDelayed(const planned_job& planned);
-  /// Refuses the delayed jobs that are not expected to be answered before their deadlines any more.
-  void RefuseHopeless(const std::string& service, instant now);
+  /// Marks the delayed jobs of a service and refuses those, new ones included, that are not
+  /// expected to be answered usefully any more. One that was accepted is kept if a free target
+  /// takes it.
+  void RefuseUnservable(const std::string& service, instant now);
   /// @return time until the work that waits for a service has been placed
   duration Backlog(std::string_view service, instant now) const;
   bool EndsWithEntry(const job& candidate, instant now) const;
--- a/libraries/scheduler/overload_policy.cc
+++ b/libraries/scheduler/overload_policy.cc
@@ -50,7 +50,8 @@
     return (1 - job.queue_served) / std::pow(options_.loss_ratio, levels);
   }
 
-  /// Orders jobs by how little it costs callers to delay them; the largest is delayed first.
+  /// Orders jobs by how little it costs callers to delay them; the job with the largest rank is
+  /// delayed first.
   auto DelayRank(size_t index) const {
     const waiting_job& job = jobs_[index];
     bool stays_useful = all_started_ <= job.last_start;
--- a/libraries/scheduler/overload_policy.h
+++ b/libraries/scheduler/overload_policy.h
@@ -25,7 +25,7 @@
   double work = 0;          ///< of its waiting tasks, in thousandths of a core times microseconds
   double queue_work = 0;    ///< mean work of the jobs of its queue, in the same unit
   double queue_served = 1;  ///< share of the recent jobs of its queue that were not refused
-  bool accepted = false;    ///< was let wait by an earlier decision
+  bool accepted = false;    ///< an earlier decision lets it wait
   bool begun = false;       ///< has ordered tasks, so it can't be refused any more
 };
 
@@ -68,10 +68,12 @@
 };
 
 /// Moore-Hodgson with priorities: takes the jobs in order of their latest starts and, whenever one
-/// would wait too long, delays the job that costs callers least: of the lowest priority, then of
-/// the queue with the largest jobs, then the one that arrived last. The mean work of the queue
-/// counts and not that of the job, so that the large jobs of a queue are served as often as the
-/// small ones.
+/// would wait too long, delays one of them. Jobs of the highest priority that waits come last; of
+/// the others, first those that can start late and still be useful, then those of the queue that
+/// has lost least for its priority (overload_options::loss_ratio), then of the lowest priority,
+/// then of the queue with the largest jobs, then the one that arrived last. The mean work of the
+/// queue counts and not that of the job, so that the large jobs of a queue are served as often as
+/// the small ones.
 overload_policy MakeOverloadPolicy(const overload_options& options);
 
 }  // namespace wagtail::leased
--- a/libraries/scheduler/queue_history.cc
+++ b/libraries/scheduler/queue_history.cc
@@ -1,5 +1,6 @@
 #include "scheduler/queue_history.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace wagtail::leased {
--- a/libraries/scheduler/queue_history.h
+++ b/libraries/scheduler/queue_history.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
-#include <string_view>
 
 #include "base/time.h"
 
