--- a/utilities/wagtailctl/job_timeline.cc
+++ b/utilities/wagtailctl/job_timeline.cc
@@ -32,8 +32,7 @@
      "caller when to retry"},
     {"displaced", "jobs of other queues went before it until its answer would have come too late",
      "a burst, or too little capacity: see job_delayed and job_displaced for the expected waits; "
-     "the "
-     "answer told the caller when to retry"},
+     "the answer told the caller when to retry"},
     {"objective_out_of_reach", "no target had free resources before its latest start",
      "a burst, or too little capacity: look for lost agents and departed targets"},
     {"too_old", "it waited for the entry's event loop until its objective was out of reach",
