Start tasks that leave no reserve on idle targets

Cause: the reserve for the highest priority applied on idle targets too, so that a task of a lower priority that needs over 0.88 of a target never started and its job was refused. Found by reading. Change: the reserve is at most what an idle target has left beside the task.

--- a/libraries/scheduler/job_overload.cc
+++ b/libraries/scheduler/job_overload.cc
@@ -108,9 +108,9 @@
 }
 
 void job_scheduler::AdmitByPolicy(const std::string& id, bool must_wait, instant now) {
-  job& candidate = jobs_.at(id);
+  const job& candidate = jobs_.at(id);
   double work = WaitingWork(candidate);
-  const std::string& service = candidate.submission.queue.service;
+  std::string service = candidate.submission.queue.service;  // the job may be refused below
   history_.OnArrived(candidate.submission.queue.name, work);
   if (must_wait) {
     RefuseUnservable(service, now);
--- a/libraries/scheduler/target_table.cc
+++ b/libraries/scheduler/target_table.cc
@@ -63,8 +63,10 @@
 
 task_resources target_table::FreeFor(const row& target, const task_demand& demand) {
   task_resources free = FreeResources(target);
-  auto capacity = static_cast<double>(target.report.load.capacity.cpu);
-  free.cpu -= static_cast<int64_t>(demand.reserved_share * capacity);
+  int64_t capacity = target.report.load.capacity.cpu;
+  auto reserved = static_cast<int64_t>(demand.reserved_share * static_cast<double>(capacity));
+  // An idle target can start any task that it can hold.
+  free.cpu -= std::min(reserved, std::max<int64_t>(capacity - demand.resources.cpu, 0));
   return free;
 }
 
--- a/tests/scheduler/target_table_test.cc
+++ b/tests/scheduler/target_table_test.cc
@@ -86,6 +86,16 @@
   CHECK_EQUAL(4, table.StartableTasks(Demand(), now));
 }
 
+// A task that needs nearly a whole target never started, although a target was idle.
+TEST(TargetTable, AnIdleTargetStartsATaskThatLeavesNoReserve) {
+  Add(1, Report(1.0, 64'000));
+  target_table::task_demand large = Demand();
+  large.resources.cpu = 60'000;
+  large.reserved_share = 0.12;
+  CHECK(table.Choose(large, now).has_value());
+  CHECK_EQUAL(1, table.StartableTasks(large, now));
+}
+
 TEST(TargetTable, CountsWhatItOrderedUntilTheAgentDoes) {
   Add(1, Report(1, 10'000));
   table.Ordered(1, 4, {.cpu = 6000, .mem_mb = 10}, now);
