Close connections that are being answered last

Cause: at the connection limit the connection without a completed request for longest gave way, which is likely one whose answer is being sent. Found by reading. Change: such a connection gives way only if no other one can.

--- a/libraries/http/connection_table.cc
+++ b/libraries/http/connection_table.cc
@@ -1,6 +1,7 @@
 #include "http/connection_table.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace wagtail {
 
@@ -24,21 +25,26 @@
   if (connections_.size() - closing_ < limits_.max_connections) {
     return {};
   }
-  auto longest = connections_.end();
+  auto can_be_closed = [](const auto& each) {
+    return !each.second.is_closing && each.second.phase != connection_phase::kHandling;
+  };
+  // A connection whose answer is on its way gives way last: the caller would lose the answer.
+  auto closing_order = [](const auto& one, const auto& other) {
+    bool is_answered = one.second.phase == connection_phase::kAnswering;
+    bool other_is_answered = other.second.phase == connection_phase::kAnswering;
+    return std::tuple(is_answered, one.second.last_completed) <
+           std::tuple(other_is_answered, other.second.last_completed);
+  };
+  auto first = connections_.end();
   for (auto each = connections_.begin(); each != connections_.end(); ++each) {
-    const connection& candidate = each->second;
-    if (candidate.is_closing || candidate.phase == connection_phase::kHandling) {
-      continue;
-    }
-    if (longest == connections_.end() ||
-        candidate.last_completed < longest->second.last_completed) {
-      longest = each;
+    if (can_be_closed(*each) && (first == connections_.end() || closing_order(*each, *first))) {
+      first = each;
     }
   }
-  if (longest == connections_.end()) {
+  if (first == connections_.end()) {
     return {.accepted = false};
   }
-  return {.displaced = Close(longest, closing_reason::kConnections)};
+  return {.displaced = Close(first, closing_reason::kConnections)};
 }
 
 void connection_table::Open(int socket, instant now) {
--- a/libraries/http/connection_table.h
+++ b/libraries/http/connection_table.h
@@ -52,7 +52,8 @@
   explicit connection_table(connection_limits limits) : limits_(limits) {}
 
   /// Decides on a new connection, before Open. At the limit, the connection that has gone longest
-  /// without completing a request gives way; if all have handlers at work the new one is refused.
+  /// without completing a request gives way, and one that is being answered only if there is no
+  /// other; if all have handlers at work the new one is refused.
   admission Admit();
   void Open(int socket, instant now);
   void Remove(int socket);
--- a/tests/http/connection_table_test.cc
+++ b/tests/http/connection_table_test.cc
@@ -53,6 +53,21 @@
   CHECK(table.TakeOverdue(At(100000)).empty());
 }
 
+// A caller that had waited longest lost the answer of a job that had run.
+TEST(ConnectionTable, AConnectionThatIsBeingAnsweredGivesWayLast) {
+  table.Open(1, At(0));
+  table.Open(2, At(1));
+  table.Open(3, At(2));
+  CHECK(table.Enter(1, connection_phase::kAnswering, At(3)));
+  CHECK_EQUAL(2, table.Admit().displaced->socket);
+  table.Open(4, At(4));
+  CHECK_EQUAL(3, table.Admit().displaced->socket);
+  table.Open(5, At(5));
+  CHECK(table.Enter(4, connection_phase::kHandling, At(6)));
+  CHECK(table.Enter(5, connection_phase::kHandling, At(6)));
+  CHECK_EQUAL(1, table.Admit().displaced->socket);
+}
+
 TEST(ConnectionTable, EachPhaseHasItsLimitOfTime) {
   struct limit {
     connection_phase phase;
