Reject settings that are not finite numbers

Cause: nan passed the check for negative values and was cast to an integer, which is undefined. Found by reading.

--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -42,6 +42,9 @@
   std::string text = kText;
   text.replace(text.find("grace_s=6"), 9, "grace_s=x");
   CHECK(!ParseNodeSettings(text).ok());
+  // Values that are not finite have no meaning as an integer.
+  CHECK(!ParseNodeSettings(kText + "limits.memory_mb=nan\n").ok());
+  CHECK(!ParseNodeSettings(kText + "limits.max_fds=inf\n").ok());
 }
 
 TEST(NodeSettings, ReadsTheLimits) {
