--- a/meta/test.sh
+++ b/meta/test.sh
@@ -3,6 +3,7 @@
 # Cases listed in KNOWN-RED.txt may fail: they are printed, but do not fail the run.
 set -uo pipefail
 cd "$(dirname "$0")/.."
+source meta/lib/known_red.sh
 export WAGTAIL_BUILD=${WAGTAIL_BUILD:-build}
 meta/build.sh || exit 1
 log=$(mktemp)
@@ -11,18 +12,18 @@
 ctest_code=$?
 grep -E 'error: Failure in TEST|^[0-9]+: +(expected|but was)' "$log"
 total=$(grep -oE '\(([0-9]+ failures?, )?[0-9]+ tests, [0-9]+ ran' "$log" | grep -oE '[0-9]+ ran' | awk '{n+=$1} END{print n+0}')
-red=$(grep -oE 'Failure in TEST\([A-Za-z0-9_]+, [A-Za-z0-9_]+\)' "$log" | sed 's/Failure in //' | sort -u)
 known=0 unknown=0
-while IFS= read -r name; do
-  [ -n "$name" ] || continue
-  if grep -qF "$name" KNOWN-RED.txt 2>/dev/null; then known=$((known + 1)); echo "known red: $name"
-  else unknown=$((unknown + 1)); echo "RED: $name"; fi
-done <<<"$red"
-# A program that crashed or timed out prints no failing case; ctest still names it.
-crashed=$(grep -cE '\*\*\*(Timeout|Exception|Not Run)' "$log")
-if [ "$crashed" -gt 0 ] || { [ $ctest_code -ne 0 ] && [ $((known + unknown)) -eq 0 ]; }; then
+while read -r program case; do
+  [ -n "$case" ] || continue
+  if is_known_red KNOWN-RED.txt "$log" "$program" "$case"; then known=$((known + 1)); echo "known red: $case"
+  else unknown=$((unknown + 1)); echo "RED: $case"; fi
+done < <(failed_cases "$log")
+# A program that crashed or timed out names no failing case; ctest still lists it.
+unnamed=$(failed_without_case "$log")
+if [ -n "$unnamed" ] || { [ $ctest_code -ne 0 ] && [ $((known + unknown)) -eq 0 ]; }; then
   tail -60 "$log"
-  unknown=$((unknown + (crashed > 0 ? crashed : 1)))
+  echo "RED: ${unnamed:-ctest}"
+  unknown=$((unknown + $(wc -l <<<"${unnamed:-ctest}")))
 fi
 echo "$((total - known - unknown)) passed, $((known + unknown)) failed"
 [ "$unknown" -eq 0 ]
