Test crowds whose limit is memory, and count what the kernel holds unread

Cause: the tests of untrusted clients let descriptors decide how many connections a process accepts (74 at 300 descriptors), so that its limit by memory (192 at 96 MB) was never reached; they compared VmHWM alone, where bytes received and not yet read count too; and their crowds sent no legal jobs.

Change: usage is sampled on a thread, as VmHWM and the unread bytes of all connections to the process, those that it has not accepted included.

--- /dev/null
+++ b/tests/untrusted_clients/attacked_process.cc
@@ -0,0 +1,73 @@
+#include "tests/untrusted_clients/attacked_process.h"
+
+#include <cstdio>
+
+#include "absl/strings/str_cat.h"
+#include "tests/fault_soak/soak_caller.h"
+#include "tests/process/polling.h"
+#include "tests/untrusted_clients/process_usage.h"
+// Included last: CppUTest's macros must not affect the library headers.
+#include <CppUTest/TestHarness.h>
+
+namespace wagtail::leased {
+namespace {
+
+constexpr size_t kKilobyte = 1024;
+/// How long usage is sampled while the crowd holds its connections: the process may still read.
+constexpr duration kObservation = std::chrono::seconds(2);
+
+/// What a process did under a load.
+struct behaviour {
+  bool is_alive = false;
+  bool is_serving = false;
+  process_usage usage{};
+};
+
+behaviour Observe(const attacked_process& attacked, size_t clients, const crowd_script& script) {
+  usage_sampler sampler(attacked.process.pid(), attacked.ip);
+  client_crowd crowd(attacked.address, clients, script);
+  crowd.WaitUntilQuiet();
+  behaviour seen;
+  auto has_ended = [&] { return !attacked.process.IsRunning(); };
+  Eventually([&] {
+    seen.is_serving = !has_ended() && attacked.request();
+    return seen.is_serving || has_ended();
+  });
+  Eventually(has_ended, kObservation);
+  seen.is_alive = !has_ended();
+  seen.usage = sampler.peak();
+  std::printf(" (%zu KB, %zu of them unread, %zu descriptors, %zu connections held)",
+              seen.usage.memory_kb, seen.usage.unread_kb, seen.usage.descriptors,
+              crowd.open_connections());
+  return seen;
+}
+
+}  // namespace
+
+void CheckUnder(const attacked_process& attacked, size_t clients, const crowd_script& script) {
+  behaviour seen = Observe(attacked, clients, script);
+  size_t max_kb = attacked.limits.memory_mb * kKilobyte;
+  size_t max_descriptors = attacked.limits.max_fds - kSpareDescriptors;
+  std::string text =
+      absl::StrCat("peak memory ", seen.usage.memory_kb, " of ", max_kb, " KB, descriptors ",
+                   seen.usage.descriptors, " of ", max_descriptors);
+  CHECK_TEXT(seen.is_alive, "the process ended");
+  CHECK_TEXT(seen.is_serving, "no ordinary request was answered 200");
+  CHECK_TEXT(seen.usage.memory_kb < max_kb, text.c_str());
+  CHECK_TEXT(seen.usage.descriptors <= max_descriptors, text.c_str());
+}
+
+std::string Head(const std::string& path, const std::string& body_header) {
+  return absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: ", kSoakHost,
+                      "\r\nContent-Type: application/json\r\n", body_header, "\r\n\r\n");
+}
+
+std::string HeadWithLength(const std::string& path, size_t length) {
+  return Head(path, absl::StrCat("Content-Length: ", length));
+}
+
+std::string HeadOfChunks(const std::string& path) {
+  return Head(path, "Transfer-Encoding: chunked");
+}
+
+}  // namespace wagtail::leased
--- a/tests/untrusted_clients/client_crowd.cc
+++ b/tests/untrusted_clients/client_crowd.cc
@@ -27,11 +27,15 @@
 
 }  // namespace
 
-std::string_view crowd_script::From(size_t position) const {
-  if (position < head.size()) {
-    return std::string_view(head).substr(position);
+size_t crowd_script::SizeWith(std::string_view own_head) const {
+  return own_head.size() + piece.size() * pieces + tail.size();
+}
+
+std::string_view crowd_script::From(std::string_view own_head, size_t position) const {
+  if (position < own_head.size()) {
+    return own_head.substr(position);
   }
-  position -= head.size();
+  position -= own_head.size();
   if (position < piece.size() * pieces) {
     return std::string_view(piece).substr(position % piece.size());
   }
@@ -72,7 +76,7 @@
     size_t open = 0;
     for (size_t index = 0; index < clients_.size(); ++index) {
       const client& each = clients_[index];
-      bool is_sending = each.sent < script_.size();
+      bool is_sending = each.sent < script_.SizeWith(each.head);
       polled[index] = {.fd = each.socket,
                        .events = static_cast<short>(is_sending ? POLLIN | POLLOUT : POLLIN),
                        .revents = 0};
@@ -93,6 +97,7 @@
   if (connecting.connects++ == kMaxConnects) {
     return;
   }
+  connecting.head = script_.head_of ? script_.head_of(next_connection_++) : script_.head;
   connecting.sent = 0;
   connecting.socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   setsockopt(connecting.socket, SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes, sizeof(kSendBufferBytes));
@@ -118,7 +123,7 @@
 }
 
 void client_crowd::SendSome(client& sending) {
-  std::string_view bytes = script_.From(sending.sent).substr(0, kSendBytes);
+  std::string_view bytes = script_.From(sending.head, sending.sent).substr(0, kSendBytes);
   ssize_t sent = send(sending.socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   if (sent > 0) {
     sending.sent += static_cast<size_t>(sent);
--- a/tests/untrusted_clients/client_crowd.h
+++ b/tests/untrusted_clients/client_crowd.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -17,10 +18,14 @@
   std::string piece{};
   size_t pieces = 0;
   std::string tail{};
+  /// If set, makes the head of each connection, in place of `head`.
+  /// @param connection serial number
+  std::function<std::string(size_t connection)> head_of{};
 
-  size_t size() const { return head.size() + piece.size() * pieces + tail.size(); }
+  /// @return number of bytes of a connection with this head
+  size_t SizeWith(std::string_view own_head) const;
   /// @return the bytes up to the end of the part that holds the byte at `position`
-  std::string_view From(size_t position) const;
+  std::string_view From(std::string_view own_head, size_t position) const;
 };
 
 /// Abusive clients on non-blocking sockets, driven by one thread. All send the same script at once,
@@ -41,6 +46,7 @@
  private:
   struct client {
     int socket = -1;
+    std::string head{};
     size_t sent = 0;
     unsigned connects = 0;
   };
@@ -54,6 +60,7 @@
   loopback_address to_;
   crowd_script script_;
   std::vector<client> clients_;
+  size_t next_connection_ = 0;
   std::atomic<size_t> progress_ = 0;  ///< counts what was sent, received and closed
   std::atomic<size_t> open_connections_ = 0;
   std::atomic<bool> stopping_ = false;
--- a/tests/untrusted_clients/untrusted_clients_test.cc
+++ b/tests/untrusted_clients/untrusted_clients_test.cc
@@ -1,15 +1,8 @@
-#include <algorithm>
-#include <cstdio>
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <functional>
-#include <iterator>
 #include <string>
-#include <system_error>
 
 #include "absl/strings/str_cat.h"
 #include "tests/fault_soak/soak_caller.h"
+#include "tests/untrusted_clients/attacked_process.h"
 #include "tests/untrusted_clients/client_crowd.h"
 #include "tests/untrusted_clients/small_cluster.h"
 // Included last: CppUTest's macros must not affect the library headers.
@@ -25,31 +18,14 @@
 constexpr size_t kMaxHeartbeatBytes = 4096 * kKilobyte;
 constexpr process_limits kEntryLimits{.memory_mb = 96, .max_fds = 300};
 constexpr process_limits kAgentLimits{.memory_mb = 64, .max_fds = 300};
-/// Descriptors that a process must leave free for its files and its connections to other processes.
-constexpr size_t kSpareDescriptors = 20;
 /// The crowd's legal bodies together are larger than the memory of the entry.
 constexpr size_t kClients = 400;
 /// Clients that send more than a legal body each.
 constexpr size_t kOversizeClients = 60;
 constexpr size_t kAgentClients = 100;
-/// How long usage is sampled while the crowd holds its connections: the process may still read.
-constexpr duration kObservation = std::chrono::seconds(2);
 constexpr const char* kCrowdPath = "/on/00000000deadbeef";
 constexpr const char* kHeartbeatPath = "/-/Instances.Heartbeat/crowd";
 
-std::string Head(const std::string& path, const std::string& body_header) {
-  return absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: ", kSoakHost,
-                      "\r\nContent-Type: application/json\r\n", body_header, "\r\n\r\n");
-}
-
-std::string HeadWithLength(const std::string& path, size_t length) {
-  return Head(path, absl::StrCat("Content-Length: ", length));
-}
-
-std::string HeadOfChunks(const std::string& path) {
-  return Head(path, "Transfer-Encoding: chunked");
-}
-
 std::string Chunk(size_t size) {
   return absl::StrCat(absl::Hex(size), "\r\n", std::string(size, ' '), "\r\n");
 }
@@ -88,72 +64,6 @@
           .tail = piece.substr(0, piece.size() - kLineEndBytes - 1)};
 }
 
-/// @return VmHWM of a process, 0 if it has ended
-size_t PeakMemoryKb(pid_t pid) {
-  constexpr std::string_view kField = "VmHWM:";
-  std::ifstream status(absl::StrCat("/proc/", pid, "/status"));
-  std::string line;
-  while (std::getline(status, line) && !line.starts_with(kField)) {
-  }
-  return line.empty() ? 0 : std::strtoul(&line[kField.size()], nullptr, 10);
-}
-
-size_t OpenDescriptors(pid_t pid) {
-  std::error_code gone;
-  std::filesystem::directory_iterator each(absl::StrCat("/proc/", pid, "/fd"), gone);
-  return static_cast<size_t>(std::distance(each, std::filesystem::directory_iterator()));
-}
-
-/// A process that receives the load, with an ordinary request to it.
-struct attacked_process {
-  child_process& process;
-  process_limits limits;
-  loopback_address address;
-  std::function<bool()> request;  ///< returns whether it was answered 200
-};
-
-/// What a process did under a load.
-struct behaviour {
-  bool is_alive = false;
-  bool is_serving = false;
-  size_t peak_memory_kb = 0;
-  size_t max_descriptors = 0;
-};
-
-behaviour Observe(const attacked_process& attacked, size_t clients, const crowd_script& script) {
-  client_crowd crowd(attacked.address, clients, script);
-  crowd.WaitUntilQuiet();
-  behaviour seen;
-  auto sample = [&] {
-    pid_t pid = attacked.process.pid();
-    seen.is_alive = attacked.process.IsRunning();
-    seen.peak_memory_kb = std::max(seen.peak_memory_kb, PeakMemoryKb(pid));
-    seen.max_descriptors = std::max(seen.max_descriptors, OpenDescriptors(pid));
-    return !seen.is_alive;
-  };
-  Eventually([&] {
-    seen.is_serving = !sample() && attacked.request();
-    return seen.is_serving || !seen.is_alive;
-  });
-  Eventually(sample, kObservation);
-  std::printf(" (%zu KB, %zu descriptors, %zu connections held)", seen.peak_memory_kb,
-              seen.max_descriptors, crowd.open_connections());
-  return seen;
-}
-
-void CheckUnder(const attacked_process& attacked, size_t clients, const crowd_script& script) {
-  behaviour seen = Observe(attacked, clients, script);
-  size_t max_kb = attacked.limits.memory_mb * kKilobyte;
-  size_t max_descriptors = attacked.limits.max_fds - kSpareDescriptors;
-  std::string text =
-      absl::StrCat("peak memory ", seen.peak_memory_kb, " of ", max_kb, " KB, descriptors ",
-                   seen.max_descriptors, " of ", max_descriptors);
-  CHECK_TEXT(seen.is_alive, "the process ended");
-  CHECK_TEXT(seen.is_serving, "no ordinary request was answered 200");
-  CHECK_TEXT(seen.peak_memory_kb < max_kb, text.c_str());
-  CHECK_TEXT(seen.max_descriptors <= max_descriptors, text.c_str());
-}
-
 }  // namespace
 
 TEST_GROUP(UntrustedClients) {
@@ -161,10 +71,12 @@
       {.entry = kEntryLimits, .agent = kAgentLimits, .max_body_bytes = kMaxBodyBytes}};
   attacked_process entry{.process = cluster.entry(),
                          .limits = kEntryLimits,
+                         .ip = cluster.front().ip,
                          .address = cluster.front(),
                          .request = [this] { return cluster.SubmitJob(); }};
   attacked_process agent{.process = cluster.agent(),
                          .limits = kAgentLimits,
+                         .ip = cluster.control().ip,
                          .address = cluster.control(),
                          .request = [this] { return cluster.SendHeartbeat(); }};
 
--- /dev/null
+++ b/tests/untrusted_clients/untrusted_jobs_test.cc
@@ -0,0 +1,169 @@
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "tests/fault_soak/soak_caller.h"
+#include "tests/untrusted_clients/attacked_process.h"
+#include "tests/untrusted_clients/client_crowd.h"
+#include "tests/untrusted_clients/small_cluster.h"
+// Included last: CppUTest's macros must not affect the library headers.
+#include <CppUTest/TestHarness.h>
+
+namespace wagtail::leased {
+namespace {
+
+constexpr size_t kKilobyte = 1024;
+constexpr size_t kMaxBodyBytes = 256 * kKilobyte;
+/// With so many descriptors, memory decides how many connections a process accepts.
+constexpr size_t kManyDescriptors = 4100;
+constexpr process_limits kEntryLimits{.memory_mb = 96, .max_fds = kManyDescriptors};
+constexpr process_limits kAgentLimits{.memory_mb = 64, .max_fds = kManyDescriptors};
+constexpr size_t kClients = 400;
+/// Bodies of up to 16 KiB are small: a part of the memory for bodies is reserved for them.
+constexpr size_t kSmallBodyBytes = 16 * kKilobyte;
+/// Small requests that each client sends on one connection.
+constexpr size_t kSmallRequests = 20;
+/// Limit on the tasks of a job.
+constexpr size_t kMaxTasks = 10'000;
+constexpr const char* kHeartbeatPath = "/-/Instances.Heartbeat/crowd";
+
+std::string Request(const std::string& path, const std::string& body) {
+  return HeadWithLength(path, body.size()) + body;
+}
+
+/// @return a job whose caller waits for a day
+std::string JobThatWaits(size_t id, const std::string& steps) {
+  std::string body = absl::StrCat(R"({"best_effort":true,"job_spec":"on","steps":[)", steps, "]}");
+  // Jobs with ids of this range run for the normal time at the fake target.
+  std::string path = kSoakPath + absl::StrFormat("c%015x", id);
+  return Head(path, absl::StrCat("Deadline-Ms: 86400000\r\nContent-Length: ", body.size())) + body;
+}
+
+/// @param steps comma-separated objects, the steps of each job
+crowd_script JobsThatWait(const std::string& steps) {
+  return {.head_of = [steps](size_t connection) { return JobThatWaits(connection, steps); }};
+}
+
+/// First step of a job that is admitted whatever else waits: its task can start at once.
+constexpr const char* kFirstStep = R"({"count":1,"cpu":1,"estimate_ms":86400000})";
+
+/// @return a first step, and one whose tasks wait for room
+std::string StepsThatWait(size_t tasks) {
+  return absl::StrCat(kFirstStep, R"(,{"count":)", tasks,
+                      R"(,"cpu":6000,"estimate_ms":86400000,"after":[0]})");
+}
+
+/// @return a step whose tasks all fit into the target at once
+std::string StepOfTinyTasks() {
+  return absl::StrCat(R"({"count":)", kMaxTasks, R"(,"cpu":1,"estimate_ms":86400000})");
+}
+
+/// @return steps that each need the whole target, all after the first one
+std::string StepsOfOneTask(size_t count) {
+  std::string steps = kFirstStep;
+  for (size_t number = 1; number < count; ++number) {
+    steps += R"(,{"count":1,"cpu":36000,"after":[0]})";
+  }
+  return steps;
+}
+
+/// @return a JSON text of almost `size` bytes, whose decoded form is many times as large
+std::string EmptyContainers(size_t size) {
+  std::string text = "[[]";
+  while (text.size() + 4 < size) {
+    text += ",[]";
+  }
+  return text + "]";
+}
+
+/// @return a body of announced length that stops a byte short of its end
+crowd_script UnfinishedBody(const std::string& path, size_t size) {
+  return {.head = HeadWithLength(path, size), .piece = std::string(size - 1, ' '), .pieces = 1};
+}
+
+}  // namespace
+
+TEST_GROUP(UntrustedJobs) {
+  small_cluster cluster{
+      {.entry = kEntryLimits, .agent = kAgentLimits, .max_body_bytes = kMaxBodyBytes}};
+  attacked_process entry{.process = cluster.entry(),
+                         .limits = kEntryLimits,
+                         .ip = cluster.front().ip,
+                         .address = cluster.front(),
+                         .request = [this] { return cluster.SubmitJob(); }};
+  attacked_process agent{.process = cluster.agent(),
+                         .limits = kAgentLimits,
+                         .ip = cluster.control().ip,
+                         .address = cluster.control(),
+                         .request = [this] { return cluster.SendHeartbeat(); }};
+
+  void setup() override { CHECK_TRUE(cluster.WaitUntilServing()); }
+};
+
+// Guards against admitting any number of tasks: a short text may describe ten thousand.
+TEST(UntrustedJobs, JobsOfThousandsOfTasksAfterAFirstOne) {
+  CheckUnder(entry, kClients, JobsThatWait(StepsThatWait(kMaxTasks - 1)));
+}
+
+// Guards against the same where all tasks may start at once.
+TEST(UntrustedJobs, JobsOfOneStepOfThousandsOfTasks) {
+  CheckUnder(entry, kClients, JobsThatWait(StepOfTinyTasks()));
+}
+
+// Guards against counting tasks only: a step takes more memory than a task.
+TEST(UntrustedJobs, JobsOfThousandsOfSteps) {
+  constexpr size_t kSteps = 7000;
+  std::string steps = StepsOfOneTask(kSteps);
+  CHECK(steps.size() < kMaxBodyBytes);
+  CheckUnder(entry, kClients, JobsThatWait(steps));
+}
+
+// Guards against an entry that orders any number of tasks from an agent at once.
+TEST(UntrustedJobs, JobsOfThousandsOfTinyTasksAtAnAgent) {
+  attacked_process attacked{.process = cluster.agent(),
+                            .limits = kAgentLimits,
+                            .ip = cluster.control().ip,
+                            .address = cluster.front(),
+                            .request = [this] { return cluster.SendHeartbeat(); }};
+  CheckUnder(attacked, kClients, JobsThatWait(StepOfTinyTasks()));
+}
+
+// Guards against jobs that hold all connections until their callers' deadline.
+TEST(UntrustedJobs, JobsThatWaitOnEveryConnection) {
+  constexpr size_t kWaitingTasks = 1000;
+  CheckUnder(entry, kClients, JobsThatWait(StepsThatWait(kWaitingTasks)));
+}
+
+// Guards against decoding any number of small texts at once.
+TEST(UntrustedJobs, ManySmallBodiesOfEmptyContainers) {
+  std::string body = EmptyContainers(kSmallBodyBytes);
+  CheckUnder(entry, kClients,
+             {.piece = Request(absl::StrCat(kSoakPath, "00000000deadbeef"), body),
+              .pieces = kSmallRequests});
+}
+
+TEST(UntrustedJobs, ManySmallHeartbeatsOfEmptyContainers) {
+  std::string body = EmptyContainers(kSmallBodyBytes);
+  CheckUnder(agent, kClients, {.piece = Request(kHeartbeatPath, body), .pieces = kSmallRequests});
+}
+
+// Guards against holding more unread bytes than memory is left while jobs wait.
+TEST(UntrustedJobs, ManyRequestsBehindAJobThatWaits) {
+  constexpr size_t kWaitingTasks = 100;
+  crowd_script script = JobsThatWait(StepsThatWait(kWaitingTasks));
+  script.piece = Request(absl::StrCat(kSoakPath, "00000000deadbeef"), "{}");
+  script.pieces = 2 * kMaxBodyBytes / script.piece.size();
+  CheckUnder(entry, kClients, script);
+}
+
+// Guards against limits that hold only because descriptors run out before memory does.
+TEST(UntrustedJobs, ManyBodiesShortOfTheirEnd) {
+  CheckUnder(entry, kClients,
+             UnfinishedBody(absl::StrCat(kSoakPath, "00000000deadbeef"), kMaxBodyBytes));
+}
+
+TEST(UntrustedJobs, ManyHeartbeatsShortOfTheirEnd) {
+  CheckUnder(agent, kClients, UnfinishedBody(kHeartbeatPath, kMaxBodyBytes));
+}
+
+}  // namespace wagtail::leased
