--- a/tests/platform/bounded_decoder_test.cc
+++ b/tests/platform/bounded_decoder_test.cc
@@ -51,10 +51,11 @@
   CHECK(decoded);
 }
 
-// Trees of many callers at once took the memory of the process.
-TEST(BoundedDecoder, LargeTextsAreDecodedOneAtATime) {
+namespace {
+
+/// @return how many threads decoded a text at the same time at most
+int MostAtOnce(const std::string& text) {
   bounded_decoder decoder(1 << 20);
-  std::string text = Repeated("x", 20'000);
   std::atomic<int> inside = 0;
   std::atomic<int> most = 0;
   {
@@ -73,7 +74,19 @@
       });
     }
   }
-  CHECK_EQUAL(1, most);
+  return most;
+}
+
+}  // namespace
+
+// Trees of many callers at once took the memory of the process.
+TEST(BoundedDecoder, LargeTextsAreDecodedOneAtATime) {
+  CHECK_EQUAL(1, MostAtOnce(Repeated("x", 20'000)));
+}
+
+// Small texts were decoded all at once, whatever the size of their trees.
+TEST(BoundedDecoder, SmallTextsOfLargeTreesAreDecodedOneAtATime) {
+  CHECK_EQUAL(1, MostAtOnce("[" + Repeated("[],", 5000) + "0]"));
 }
 
 // Small requests must not wait behind a large one.
