Move the budget of request bodies to base, for use beyond HTTP

Cause: the budget with a part reserved for small requests is needed for jobs, too, and was named after request bodies.

Change: request_memory in libraries/http is memory_budget in libraries/base, kSmallBodyBytes is kSmallReservationBytes, largest_body_bytes is largest_bytes. memory_reservation releases its part on destruction. The tests moved with it: the group RequestMemory is MemoryBudget, its bodies are unchanged, and one test of memory_reservation was added.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -120,7 +120,7 @@
                                                                 http_handler handler) {
   InitialiseHttpOnce();
   if (options.memory == nullptr) {
-    options.memory = std::make_shared<request_memory>(request_memory_options{});
+    options.memory = std::make_shared<memory_budget>(memory_budget_options{});
   }
   if (!options.hooks.refuse) {
     options.hooks.refuse = &PlainRefusal;
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -8,10 +8,10 @@
 #include <string_view>
 
 #include "absl/status/statusor.h"
+#include "base/memory_budget.h"
 #include "base/time.h"
 #include "http/connection_table.h"
 #include "http/http_message.h"
-#include "http/request_memory.h"
 
 namespace wagtail {
 
@@ -48,7 +48,7 @@
   duration body_timeout = connection_limits{}.body_timeout;      ///< also for sending an answer
   duration idle_timeout = connection_limits{}.idle_timeout;
   /// Budget for bodies, may be shared by servers; one of its own by default.
-  std::shared_ptr<request_memory> memory{};
+  std::shared_ptr<memory_budget> memory{};
   http_server_hooks hooks{};
 };
 
--- a/libraries/http/request_body.cc
+++ b/libraries/http/request_body.cc
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-request_body::request_body(request_memory& memory, size_t max_bytes)
+request_body::request_body(memory_budget& memory, size_t max_bytes)
     : memory_(memory), max_bytes_(max_bytes) {}
 
 request_body::~request_body() { memory_.Release(reserved_bytes_); }
@@ -21,7 +21,7 @@
     return verdict_;
   }
   // A body larger than the whole budget would be refused for lack of memory each time it is sent.
-  if (*announced_bytes > std::min(max_bytes_, memory_.largest_body_bytes())) {
+  if (*announced_bytes > std::min(max_bytes_, memory_.largest_bytes())) {
     return Refuse(body_verdict::kTooLarge);
   }
   if (!memory_.Reserve(*announced_bytes)) {
@@ -42,8 +42,8 @@
   }
   if (!Grow(text_.size() + part.size())) {
     discarded_bytes_ = part.size();
-    return Refuse(needs_bytes_ > memory_.largest_body_bytes() ? body_verdict::kTooLarge
-                                                              : body_verdict::kNoMemory);
+    return Refuse(needs_bytes_ > memory_.largest_bytes() ? body_verdict::kTooLarge
+                                                         : body_verdict::kNoMemory);
   }
   text_.append(part);
   return verdict_;
--- a/libraries/http/request_body.h
+++ b/libraries/http/request_body.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-#include "http/request_memory.h"
+#include "base/memory_budget.h"
 
 namespace wagtail {
 
@@ -21,7 +21,7 @@
 class request_body {
  public:
   /// @param memory budget; must outlive the body
-  request_body(request_memory& memory, size_t max_bytes);
+  request_body(memory_budget& memory, size_t max_bytes);
   ~request_body();
   request_body(const request_body&) = delete;
   request_body& operator=(const request_body&) = delete;
@@ -43,7 +43,7 @@
   /// @return whether the buffer now holds at least `bytes`
   bool Grow(size_t bytes);
 
-  request_memory& memory_;
+  memory_budget& memory_;
   const size_t max_bytes_;
   size_t reserved_bytes_ = 0;
   size_t needs_bytes_ = 0;  ///< by the last growth: the old buffer and the new one
--- a/libraries/http/request_exchange.cc
+++ b/libraries/http/request_exchange.cc
@@ -65,7 +65,7 @@
 
 }  // namespace
 
-body_verdict request_exchange::BeginBody(MHD_Connection* connection, request_memory& memory,
+body_verdict request_exchange::BeginBody(MHD_Connection* connection, memory_budget& memory,
                                          size_t max_bytes) {
   body_.emplace(memory, max_bytes);
   return body_->Begin(AnnouncedBytes(connection));
--- a/libraries/http/request_exchange.h
+++ b/libraries/http/request_exchange.h
@@ -23,7 +23,7 @@
 
   /// Begins to read the body; to be called once the header is complete.
   /// @param max_bytes limit for the body
-  body_verdict BeginBody(MHD_Connection* connection, request_memory& memory, size_t max_bytes);
+  body_verdict BeginBody(MHD_Connection* connection, memory_budget& memory, size_t max_bytes);
   bool has_body_begun() const { return body_.has_value(); }
   request_body& body() { return *body_; }
 
--- a/tests/http/request_memory_test.cc
+++ b/tests/base/memory_budget_test.cc
@@ -1,6 +1,7 @@
-#include "http/request_memory.h"
+#include "base/memory_budget.h"
 
 #include <atomic>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -9,12 +10,12 @@
 
 namespace wagtail {
 
-TEST_GROUP(RequestMemory){};
+TEST_GROUP(MemoryBudget){};
 
 // Unfinished large bodies held all of the memory, and small requests got none.
-TEST(RequestMemory, LargeBodiesLeaveTheReserveToSmallOnes) {
-  request_memory memory({.total_bytes = 100 << 10, .small_reserve_bytes = 40 << 10});
-  CHECK_EQUAL(60U << 10, memory.largest_body_bytes());
+TEST(MemoryBudget, LargeBodiesLeaveTheReserveToSmallOnes) {
+  memory_budget memory({.total_bytes = 100 << 10, .small_reserve_bytes = 40 << 10});
+  CHECK_EQUAL(60U << 10, memory.largest_bytes());
   CHECK(memory.Reserve(50 << 10));
   CHECK_FALSE(memory.Reserve(20 << 10));
   CHECK(memory.Reserve(16 << 10));
@@ -27,17 +28,29 @@
   CHECK_FALSE(memory.Reserve(17 << 10));
 }
 
-TEST(RequestMemory, AnImpossibleSizeIsRefusedWithoutOverflow) {
-  request_memory memory({.total_bytes = 1000, .small_reserve_bytes = 0});
+TEST(MemoryBudget, AnImpossibleSizeIsRefusedWithoutOverflow) {
+  memory_budget memory({.total_bytes = 1000, .small_reserve_bytes = 0});
   CHECK(memory.Reserve(1));
   CHECK_FALSE(memory.Reserve(SIZE_MAX));
   CHECK_EQUAL(1, memory.held_bytes());
 }
 
+TEST(MemoryBudget, AReservationIsReleasedWithItsLastCopy) {
+  auto budget = std::make_shared<memory_budget>(
+      memory_budget_options{.total_bytes = 1000, .small_reserve_bytes = 0});
+  auto first = memory_reservation::Make(budget, 600);
+  auto copy = first;
+  CHECK(memory_reservation::Make(budget, 600) == nullptr);
+  first.reset();
+  CHECK_EQUAL(600, budget->held_bytes());
+  copy.reset();
+  CHECK_EQUAL(0, budget->held_bytes());
+}
+
 // The budget must hold whichever threads reserve at once.
-TEST(RequestMemory, NeverHoldsMoreThanTheTotalAmongThreads) {
+TEST(MemoryBudget, NeverHoldsMoreThanTheTotalAmongThreads) {
   constexpr size_t kTotal = 50;
-  request_memory memory({.total_bytes = kTotal, .small_reserve_bytes = 0});
+  memory_budget memory({.total_bytes = kTotal, .small_reserve_bytes = 0});
   std::atomic<bool> exceeded = false;
   {
     std::vector<std::jthread> threads;
--- a/tests/http/request_body_test.cc
+++ b/tests/http/request_body_test.cc
@@ -6,7 +6,7 @@
 namespace wagtail {
 
 TEST_GROUP(RequestBody) {
-  request_memory memory{{.total_bytes = 100 << 10, .small_reserve_bytes = 20 << 10}};
+  memory_budget memory{{.total_bytes = 100 << 10, .small_reserve_bytes = 20 << 10}};
 };
 
 TEST(RequestBody, CollectsPartsAndReleasesTheBudgetAtItsEnd) {
--- a/tests/http/untrusted_client_test.cc
+++ b/tests/http/untrusted_client_test.cc
@@ -80,8 +80,8 @@
   std::atomic<size_t> body_bytes = 0;
   std::atomic<int> closed[5] = {};
   std::atomic<int> refused[3] = {};
-  std::shared_ptr<request_memory> memory = std::make_shared<request_memory>(
-      request_memory_options{.total_bytes = 400 << 10, .small_reserve_bytes = 100 << 10});
+  std::shared_ptr<memory_budget> memory = std::make_shared<memory_budget>(
+      memory_budget_options{.total_bytes = 400 << 10, .small_reserve_bytes = 100 << 10});
 
   std::unique_ptr<http_server> Serve(http_server_options options) {
     options.memory = memory;
--- a/tests/platform/http_limits_test.cc
+++ b/tests/platform/http_limits_test.cc
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "http/request_memory.h"
+#include "base/memory_budget.h"
 #include "platform/http_limit_log.h"
 
 // Included last: its macros must not affect other headers.
@@ -52,7 +52,7 @@
   CHECK_EQUAL(10, limits.max_connections);
   CHECK_EQUAL(10, limits.max_side_connections);
   CHECK_EQUAL(1 << 20, limits.request_memory_bytes);
-  CHECK_EQUAL(10 * kSmallBodyBytes, limits.small_reserve_bytes);
+  CHECK_EQUAL(10 * kSmallReservationBytes, limits.small_reserve_bytes);
   CHECK(limits.header_timeout == std::chrono::seconds(1));
   CHECK(limits.body_timeout == std::chrono::seconds(2));
   CHECK(limits.idle_timeout == std::chrono::seconds(3));
