Bound the memory of all admitted jobs together

Cause: the budget for bodies counts the text of a request. A decoded job takes up to ten thousand times as much, lives until its caller's deadline, and only the number of jobs (4,000) was bounded.

Change: a job is counted against a budget of its own, by an estimate from its steps, tasks and text, before the next one is decoded; the scheduler keeps the reservation as long as the job. Jobs of up to 16 KiB (about 90 tasks; ordinary ones have 8) have a reserve, as bodies have. A job that does not fit is answered 503 with 'Retry-After: 1' before any task of it is placed, one that never fits 413. A job's steps are moved, not copied, into the scheduler.

A job of 10,000 steps fits twice into the budget of an entry of 160 MB, and an ordinary job on every connection into that of every entry (HttpLimits).

--- a/libraries/scheduler/job_scheduler.cc
+++ b/libraries/scheduler/job_scheduler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 #include "leases/target_clock.h"
 
@@ -18,6 +19,21 @@
       crashes_(options_.crashes),
       history_(options_.history) {}
 
+size_t job_scheduler::MemoryBytes(std::span<const job_step> steps, size_t text_bytes) {
+  // Of the allocator, for each block of memory.
+  constexpr size_t kBlockBytes = 16;
+  // The addresses of a task's agent and of those that it avoids.
+  constexpr size_t kAddressBytes = 64;
+  constexpr size_t kTaskBytes = sizeof(task) + kAddressBytes;
+  // A step is held twice while the job is submitted.
+  constexpr size_t kStepBytes = sizeof(step) + sizeof(job_step) + 2 * kBlockBytes;
+  size_t bytes = sizeof(job) + text_bytes + kBlockBytes;
+  for (const job_step& each : steps) {
+    bytes += kStepBytes + each.count * kTaskBytes + each.after.capacity() * sizeof(uint32_t);
+  }
+  return bytes;
+}
+
 void job_scheduler::Submit(request_serial serial, job_submission submission, instant now) {
   auto known = jobs_.find(submission.id);
   if (known != jobs_.end()) {
@@ -30,8 +46,10 @@
   added.arrived = now - submission.queued;
   added.deadline = added.arrived + submission.deadline - options_.answer_margin;
   added.submission = std::move(submission);
-  for (const job_step& spec : added.submission.steps) {
-    added.steps.push_back({.spec = spec, .tasks = std::vector<task>(spec.count)});
+  added.steps.reserve(added.submission.steps.size());
+  for (job_step& spec : std::exchange(added.submission.steps, {})) {
+    std::vector<task> tasks(spec.count);
+    added.steps.push_back({.spec = std::move(spec), .tasks = std::move(tasks)});
   }
   added.critical_path = CriticalPath(added);
   const queue_plan& queue = added.submission.queue;
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -85,6 +86,10 @@
   job_scheduler(job_scheduler_options options, order_hook order, withdraw_hook withdraw,
                 answer_hook answer, log_hook log);
 
+  /// @return about how much memory a job in progress takes, at most
+  /// @param text_bytes size of the job's text
+  static size_t MemoryBytes(std::span<const job_step> steps, size_t text_bytes);
+
   /// Submits a request. It is answered through the answer hook, possibly before this returns.
   void Submit(request_serial serial, job_submission submission, instant now);
   /// Handles the disconnect of a caller. A job without callers is cancelled.
--- a/libraries/scheduler/scheduler_events.h
+++ b/libraries/scheduler/scheduler_events.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/memory_budget.h"
 #include "base/time.h"
 #include "leases/run_events.h"
 #include "leases/task_ref.h"
@@ -34,6 +35,7 @@
   std::vector<job_step> steps{};
   duration deadline{0};  ///< how long the caller waits, counted from the arrival
   duration queued{0};    ///< time between the arrival and the submission to the scheduler
+  std::shared_ptr<const memory_reservation> memory{};  ///< kept as long as the job
 };
 
 enum class job_outcome {
--- a/services/dispatchd/dispatch_service.cc
+++ b/services/dispatchd/dispatch_service.cc
@@ -55,6 +55,9 @@
 dispatch_service::dispatch_service(const platform::node_settings& settings)
     : settings_(settings),
       listeners_(settings, metrics_),
+      job_memory_({.total_bytes = listeners_.limits().job_memory_bytes,
+                   .small_reserve_bytes = listeners_.limits().small_job_reserve_bytes},
+                  metrics_),
       answers_(&metrics_.Counters("wagtail_entry_answers_total", "Answers to jobs.")),
       answer_seconds_(&metrics_.Histograms("wagtail_entry_answer_seconds",
                                            "Time from a job's arrival to its answer.",
@@ -307,17 +310,28 @@
                          .queue = queue == nullptr ? std::nullopt : std::optional(*queue)};
     });
   };
-  hooks.decode = [this](std::string_view body) -> absl::StatusOr<platform::job_body> {
-    absl::StatusOr<platform::job_body> job;
-    TRY(listeners_.decoder().Run(body, [&] { job = platform::ReadJob(body); }));
-    return job;
-  };
+  hooks.decode = [this](std::string_view body) { return DecodeJob(body); };
   hooks.submit = [this](front_request& request) { return Submit(request); };
   hooks.cancel = [this](front_request& request) { return Cancel(request); };
   hooks.state = [this](front_request& request) { return JobState(request); };
   return hooks;
 }
 
+absl::StatusOr<platform::job_body> dispatch_service::DecodeJob(std::string_view body) {
+  absl::StatusOr<platform::job_body> job;
+  // The reservation is made before the next job is decoded.
+  auto read = [&]() -> absl::Status {
+    job = platform::ReadJob(body);
+    TRY(job.status());
+    job->memory = TRY(job_memory_.Reserve(*job));
+    return absl::OkStatus();
+  };
+  absl::Status reserved;
+  TRY(listeners_.decoder().Run(body, [&] { reserved = read(); }));
+  TRY(reserved);
+  return job;
+}
+
 bool dispatch_service::HasPlan() const {
   return shared_plan_.Read([](const operating_plan& plan) { return plan.version > 0; });
 }
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -21,6 +21,7 @@
 #include "scheduler/loop_backlog.h"
 #include "services/dispatchd/first_plan_gate.h"
 #include "services/dispatchd/front_filters.h"
+#include "services/dispatchd/job_memory.h"
 #include "services/dispatchd/load_monitor.h"
 #include "services/dispatchd/overload_metrics.h"
 #include "services/dispatchd/pending_answer.h"
@@ -74,6 +75,8 @@
 
   front_hooks FrontHooks();
   http_response AnswerCaller(const http_request& request);
+  /// Decodes a job within the limits on memory.
+  absl::StatusOr<platform::job_body> DecodeJob(std::string_view body);
   bool HasPlan() const;
   /// @return the largest body that callers may send
   size_t MaxBodyBytes() const;
@@ -89,6 +92,7 @@
   platform::node_settings settings_;
   metrics_registry metrics_;
   platform::http_listeners listeners_;
+  job_memory job_memory_;
   family<counter>* answers_;
   family<histogram>* answer_seconds_;
   snapshot_cell<operating_plan> shared_plan_;  ///< read by the connection threads
--- a/services/dispatchd/front_filters.cc
+++ b/services/dispatchd/front_filters.cc
@@ -57,18 +57,31 @@
   return std::nullopt;
 }
 
+/// @param error why a job was not decoded, or not kept
+http_response RefusalOf(const absl::Status& error) {
+  using platform::platform_error;
+  std::string message = MessageOf(error);
+  switch (ErrorOf<platform_error>(error).value_or(platform_error::kBadMessage)) {
+    case platform_error::kUnsupported:
+      return platform::WriteRefusal(kUnavailable, "kind_of_job_not_built", kRetry);
+    case platform_error::kNoMemory:
+      return platform::WriteRefusal(kUnavailable, message, kRetry);
+    case platform_error::kTooLarge:
+      return platform::WriteRefusal(kTooLarge, message, kNoRetry);
+    default:
+      return platform::WriteRefusal(kBadRequest, message, kNoRetry);
+  }
+}
+
 std::optional<http_response> DecodeJob(const front_hooks& hooks, front_request& request) {
   if (request.http->method != "POST") {
     return std::nullopt;
   }
   absl::StatusOr<platform::job_body> job = hooks.decode(request.http->body);
   if (!job.ok()) {
-    bool unsupported =
-        ErrorOf<platform::platform_error>(job.status()) == platform::platform_error::kUnsupported;
     LogFact(log_level::kWarning, "job_refused",
             {{"job", request.job}, {"reason", MessageOf(job.status())}});
-    return unsupported ? platform::WriteRefusal(kUnavailable, "kind_of_job_not_built", kRetry)
-                       : platform::WriteRefusal(kBadRequest, MessageOf(job.status()), kNoRetry);
+    return RefusalOf(job.status());
   }
   duration fallback =
       request.queue.timeout > duration::zero() ? request.queue.timeout : kDefaultDeadline;
@@ -77,7 +90,8 @@
                         .text = std::make_shared<const std::string>(std::move(job->text)),
                         .queue = request.queue,
                         .steps = std::move(job->steps),
-                        .deadline = deadline - request.waited};
+                        .deadline = deadline - request.waited,
+                        .memory = std::move(job->memory)};
   return std::nullopt;
 }
 
--- a/tests/platform/http_limits_test.cc
+++ b/tests/platform/http_limits_test.cc
@@ -5,6 +5,7 @@
 
 #include "base/memory_budget.h"
 #include "platform/http_limit_log.h"
+#include "scheduler/job_scheduler.h"
 
 // Included last: its macros must not affect other headers.
 #include <CppUTest/TestHarness.h>
@@ -36,6 +37,28 @@
   CHECK(limits.request_memory_bytes - limits.small_reserve_bytes >= 6 * kMiB);
 }
 
+// The largest legal job has 10,000 tasks, each in a step of its own.
+TEST(HttpLimits, TheLargestJobFitsIntoTheBudgetOfTheSmallestEntry) {
+  constexpr size_t kMaxTasksPerJob = 10'000;
+  std::vector<leased::job_step> steps(kMaxTasksPerJob, {.count = 1});
+  size_t job = leased::job_scheduler::MemoryBytes(steps, 0);
+  http_limits limits = DeriveHttpLimits({.memory_mb = 160}, kManyFds);
+  CHECK(limits.job_memory_bytes - limits.small_job_reserve_bytes >= 2 * job);
+}
+
+// Ordinary jobs have up to 8 tasks and a text of up to 4,000 bytes, and a caller sends one at a
+// time.
+TEST(HttpLimits, AnOrdinaryJobOnEveryConnectionFitsIntoTheBudgetForJobs) {
+  constexpr size_t kTextBytes = 4000;
+  std::vector<leased::job_step> steps(1, {.count = 8});
+  size_t job = leased::job_scheduler::MemoryBytes(steps, kTextBytes);
+  CHECK(job < kSmallReservationBytes);
+  for (size_t memory_mb : {64, 96, 128, 160, 260, 512, 4096}) {
+    http_limits limits = DeriveHttpLimits({.memory_mb = memory_mb}, kManyFds);
+    CHECK(limits.max_connections * job <= limits.job_memory_bytes);
+  }
+}
+
 TEST(HttpLimits, ConnectionsLeaveDescriptorsForTheRest) {
   CHECK_EQUAL(288, DeriveHttpLimits({.memory_mb = 4096}, 1024).max_connections);
   CHECK_EQUAL(64, DeriveHttpLimits({.memory_mb = 4096}, 256).max_connections);
@@ -45,6 +68,7 @@
   node_settings settings{.memory_mb = 160};
   settings.http = {.max_connections = 10,
                    .max_request_memory_bytes = 1 << 20,
+                   .max_job_memory_bytes = 3 << 20,
                    .header_timeout = std::chrono::seconds(1),
                    .body_timeout = std::chrono::seconds(2),
                    .idle_timeout = std::chrono::seconds(3)};
@@ -53,6 +77,8 @@
   CHECK_EQUAL(10, limits.max_side_connections);
   CHECK_EQUAL(1 << 20, limits.request_memory_bytes);
   CHECK_EQUAL(10 * kSmallReservationBytes, limits.small_reserve_bytes);
+  CHECK_EQUAL(3 << 20, limits.job_memory_bytes);
+  CHECK_EQUAL(10 * kSmallReservationBytes, limits.small_job_reserve_bytes);
   CHECK(limits.header_timeout == std::chrono::seconds(1));
   CHECK(limits.body_timeout == std::chrono::seconds(2));
   CHECK(limits.idle_timeout == std::chrono::seconds(3));
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -95,6 +95,26 @@
   CHECK(answers.at(0).answer.outcome == job_outcome::kFailed);
 }
 
+// The budget for jobs is right only if a job gives its part back when it is gone.
+TEST(JobScheduler, AJobKeepsItsPartOfTheBudgetUntilItEnds) {
+  AddTarget(1);
+  auto budget = std::make_shared<memory_budget>(
+      memory_budget_options{.total_bytes = 1000, .small_reserve_bytes = 0});
+  job_submission first = Job("a", 1);
+  first.memory = memory_reservation::Make(budget, 600);
+  Submit(5, std::move(first));
+  CHECK_EQUAL(600, budget->held_bytes());
+  // A caller that sends the same job again holds no second part.
+  job_submission again = Job("a", 1);
+  again.memory = memory_reservation::Make(budget, 400);
+  Submit(6, std::move(again));
+  CHECK_EQUAL(600, budget->held_bytes());
+  scheduler.CallerGone(5);
+  CHECK_EQUAL(600, budget->held_bytes());
+  End(orders.at(0), run_outcome::kDone);
+  CHECK_EQUAL(0, budget->held_bytes());
+}
+
 TEST(JobScheduler, ATaskThatTwiceRanBesideACrashingOneIsTriedAgain) {
   AddTarget(1);
   AddTarget(2);
