End the wait for an answer when a caller hangs up with bytes unread

(Found by reading; shown by a unit test, not with whole processes.)

Cause: after a hang-up the wait peeked at the socket, found the unread bytes, took the caller for present and polled again, which returned at once.

Change: a hang-up ends the wait whatever is unread, as it does where nothing is.

Result: PendingAnswer.EndsWhenACallerLeavesThatHasSentMore and EndsWhenTheServerReadsNoMore ended after 5.0 s, the timeout of the wait, and now end at once; the two other cases of the new file held before.

--- a/services/dispatchd/pending_answer.cc
+++ b/services/dispatchd/pending_answer.cc
@@ -13,6 +13,15 @@
 #include "base/verify.h"
 
 namespace wagtail::leased {
+namespace {
+
+/// Holds also while bytes that the caller has sent are unread.
+bool HasHungUp(const pollfd& polled) {
+  return (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+}  // namespace
+
 bool IsCallerGone(int socket) {
   if (socket < 0) {
     return false;
@@ -59,10 +68,10 @@
     if (poll_fds[0].revents != 0) {
       return TakeAnswer();
     }
+    if (HasHungUp(poll_fds[1]) || (poll_fds[1].revents != 0 && IsCallerGone(socket))) {
+      return TakeAnswer();
+    }
     if (poll_fds[1].revents != 0) {
-      if (IsCallerGone(socket)) {
-        return TakeAnswer();
-      }
       poll_fds[1].events = POLLRDHUP;
     }
   }
