--- a/libraries/http/connection_table.cc
+++ b/libraries/http/connection_table.cc
@@ -17,14 +17,28 @@
       return "connections";
     case closing_reason::kMemory:
       return "memory";
+    case closing_reason::kHandlerTime:
+      return "handler_time";
   }
   return "unknown";
 }
 
-connection_table::admission connection_table::Admit() {
+connection_table::admission connection_table::Admit(instant now) {
   if (connections_.size() - closing_ < limits_.max_connections) {
     return {};
   }
+  auto first = LongestWithoutRequest();
+  if (first != connections_.end()) {
+    return {.displaced = Close(first, closing_reason::kConnections)};
+  }
+  auto handler = LongestHandler(now);
+  if (handler != connections_.end()) {
+    return {.displaced = Close(handler, closing_reason::kHandlerTime)};
+  }
+  return {.accepted = false};
+}
+
+connection_table::connection_map::iterator connection_table::LongestWithoutRequest() {
   auto can_be_closed = [](const auto& each) {
     return !each.second.is_closing && each.second.phase != connection_phase::kHandling;
   };
@@ -41,10 +55,25 @@
       first = each;
     }
   }
-  if (first == connections_.end()) {
-    return {.accepted = false};
+  return first;
+}
+
+connection_table::connection_map::iterator connection_table::LongestHandler(instant now) {
+  auto longest = connections_.end();
+  if (!limits_.handler_grace.has_value()) {
+    return longest;
+  }
+  for (auto each = connections_.begin(); each != connections_.end(); ++each) {
+    const connection& candidate = each->second;
+    if (candidate.is_closing || candidate.phase != connection_phase::kHandling ||
+        now - candidate.phase_began < *limits_.handler_grace) {
+      continue;
+    }
+    if (longest == connections_.end() || candidate.phase_began < longest->second.phase_began) {
+      longest = each;
+    }
   }
-  return {.displaced = Close(first, closing_reason::kConnections)};
+  return longest;
 }
 
 void connection_table::Open(int socket, instant now) {
@@ -146,7 +175,7 @@
   return found != connections_.end() && found->second.is_read_shut;
 }
 
-connection_table::closing connection_table::Close(std::map<int, connection>::iterator found,
+connection_table::closing connection_table::Close(connection_map::iterator found,
                                                   closing_reason reason) {
   found->second.is_closing = true;
   ++closing_;
--- a/libraries/http/connection_table.h
+++ b/libraries/http/connection_table.h
@@ -18,7 +18,7 @@
   kIdle,       ///< no request has begun
   kHeader,     ///< its request line has arrived
   kBody,       ///< its header is complete
-  kHandling,   ///< the handler is at work; never closed
+  kHandling,   ///< the handler is at work
   kAnswering,  ///< the answer is being sent, or the rest of a refused body discarded
 };
 
@@ -28,6 +28,7 @@
   kIdleTime,
   kConnections,  ///< gave way to a new connection
   kMemory,       ///< gave way to the body of another request
+  kHandlerTime,  ///< gave way to a new connection while its handler was at work
 };
 std::string_view ToText(closing_reason reason);
 
@@ -36,6 +37,9 @@
   duration header_timeout = std::chrono::seconds(10);
   duration body_timeout = std::chrono::seconds(30);  ///< also for sending an answer
   duration idle_timeout = std::chrono::seconds(60);
+  /// A handler that has been at work for this long gives way to a new connection if all others have
+  /// handlers at work, too. Empty: never.
+  std::optional<duration> handler_grace{};
 };
 
 class connection_table {
@@ -53,8 +57,9 @@
 
   /// Decides on a new connection, before Open. At the limit, the connection that has gone longest
   /// without completing a request gives way, and one that is being answered only if there is no
-  /// other; if all have handlers at work the new one is refused.
-  admission Admit();
+  /// other. If all have handlers at work, the one that has been at work longest and longer than the
+  /// grace gives way; if there is none, the new connection is refused.
+  admission Admit(instant now);
   void Open(int socket, instant now);
   void Remove(int socket);
 
@@ -84,11 +89,17 @@
     bool is_read_shut = false;
   };
 
+  using connection_map = std::map<int, connection>;
+
+  /// @return the connection without a handler at work that gives way first, or end()
+  connection_map::iterator LongestWithoutRequest();
+  /// @return the connection whose handler has been at work longest and for the grace, or end()
+  connection_map::iterator LongestHandler(instant now);
   std::optional<closing_reason> OverdueReason(const connection& each, instant now) const;
-  closing Close(std::map<int, connection>::iterator found, closing_reason reason);
+  closing Close(connection_map::iterator found, closing_reason reason);
 
   const connection_limits limits_;
-  std::map<int, connection> connections_{};
+  connection_map connections_{};
   size_t closing_ = 0;
 };
 
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -47,6 +48,10 @@
   duration header_timeout = connection_limits{}.header_timeout;  ///< from the request line on
   duration body_timeout = connection_limits{}.body_timeout;      ///< also for sending an answer
   duration idle_timeout = connection_limits{}.idle_timeout;
+  /// How long handlers may hold all connections. A handler that waits for longer gives way to a new
+  /// connection: its request's socket then reads as closed by the peer, and its answer is still
+  /// sent. Empty: for ever.
+  std::optional<duration> handler_grace{};
   /// Budget for bodies, may be shared by servers; one of its own by default.
   std::shared_ptr<memory_budget> memory{};
   http_server_hooks hooks{};
--- a/libraries/http/http_server_state.h
+++ b/libraries/http/http_server_state.h
@@ -25,7 +25,8 @@
         connections({.max_connections = options.max_connections,
                      .header_timeout = options.header_timeout,
                      .body_timeout = options.body_timeout,
-                     .idle_timeout = options.idle_timeout},
+                     .idle_timeout = options.idle_timeout,
+                     .handler_grace = options.handler_grace},
                     options.hooks.closed) {}
 
   http_server_options options;
--- a/libraries/http/open_connections.cc
+++ b/libraries/http/open_connections.cc
@@ -26,7 +26,7 @@
 
 bool open_connections::Admit() {
   std::lock_guard lock(mutex_);
-  connection_table::admission admission = table_.Admit();
+  connection_table::admission admission = table_.Admit(MonotonicNow());
   if (admission.displaced.has_value()) {
     ShutDown(*admission.displaced);
   }
@@ -80,7 +80,9 @@
 
 void open_connections::ShutDown(const connection_table::closing& closing) {
   closed_(closing.reason);
-  shutdown(closing.socket, SHUT_RDWR);
+  // A handler at work sees that its caller is gone, and its answer is still sent.
+  bool has_handler = closing.reason == closing_reason::kHandlerTime;
+  shutdown(closing.socket, has_handler ? SHUT_RD : SHUT_RDWR);
 }
 
 void open_connections::CheckTimes(const std::stop_token& stop) {
