Let each task occupy a small part of its target at least

Cause: a target was ordered all tasks that fit into its processor, and any number of tasks that ask for nothing.

Change: a task occupies at least 1/256 of its target's processor, in the entry's choice of a target and in the agent's admission. Tasks on the deployments ask for 1/36 of a target and more. An agent of the previous version admits more than a new entry orders, and a previous entry that orders more is refused with 'no_room', as it knows.

JobScheduler.TasksThatAskForNothingDoNotFloodATarget and RunController.RefusesTasksThatAskForNothingBeyondALimit are new.

--- a/libraries/leases/run_controller.cc
+++ b/libraries/leases/run_controller.cc
@@ -70,12 +70,16 @@
   return runs_.StopOverdue(now, options_.stop_timeout);
 }
 
+task_resources run_controller::Capacity() const {
+  return incarnation_.has_value() ? incarnation_->announced.capacity : task_resources{};
+}
+
 task_resources run_controller::Free() const {
   if (!incarnation_.has_value()) {
     return {};
   }
-  task_resources free = incarnation_->announced.capacity;
-  free -= runs_.OccupiedResources();
+  task_resources free = Capacity();
+  free -= runs_.OccupiedResources(Capacity());
   return free;
 }
 
@@ -136,10 +140,11 @@
   task_resources free = Free();
   for (uint64_t serial : runs_.Waiting()) {
     tracked_run& run = runs_.find(serial)->second;
-    if (!free.Holds(run.order.resources) || runs_.IsAtTarget(run.order.task)) {
+    task_resources needed = OccupiedBy(run.order.resources, Capacity());
+    if (!free.Holds(needed) || runs_.IsAtTarget(run.order.task)) {
       continue;
     }
-    free -= run.order.resources;
+    free -= needed;
     Start(serial, run, now);
   }
 }
@@ -214,7 +219,7 @@
     // run of its task.
     bool waits_for_end =
         runs_.IsAtTarget(run.order.task) && now - run.arrived < options_.max_order_wait;
-    bool fits = free.Holds(run.order.resources) && !StopOverdue(now);
+    bool fits = free.Holds(OccupiedBy(run.order.resources, Capacity())) && !StopOverdue(now);
     if (!serving || !(fits || waits_for_end)) {
       refused.push_back(serial);
     }
--- a/libraries/leases/run_controller.h
+++ b/libraries/leases/run_controller.h
@@ -177,6 +177,8 @@
   /// @return whether a start beyond the target's capacity can do no harm
   bool IsCapacityCurrentOrGuarded() const;
   bool StopOverdue(instant now) const;
+  /// @return capacity of the target; nothing while none is known
+  task_resources Capacity() const;
   task_resources Free() const;
 
   void StartFittingOrders(instant now);
--- a/libraries/leases/run_table.cc
+++ b/libraries/leases/run_table.cc
@@ -81,11 +81,11 @@
   });
 }
 
-task_resources run_table::OccupiedResources() const {
+task_resources run_table::OccupiedResources(const task_resources& capacity) const {
   task_resources occupied;
   for (const auto& [serial, run] : runs_) {
     if (leased::IsAtTarget(run)) {
-      occupied += run.order.resources;
+      occupied += OccupiedBy(run.order.resources, capacity);
     }
   }
   return occupied;
--- a/libraries/leases/run_table.h
+++ b/libraries/leases/run_table.h
@@ -70,8 +70,9 @@
   bool IsBusy(session_id session) const;
   /// @return whether any stop has been unconfirmed for longer than `timeout`
   bool StopOverdue(instant now, duration timeout) const;
+  /// @param capacity of the target
   /// @return resources occupied by the runs at the target
-  task_resources OccupiedResources() const;
+  task_resources OccupiedResources(const task_resources& capacity) const;
 
  private:
   map runs_;
--- a/libraries/leases/task_ref.h
+++ b/libraries/leases/task_ref.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -40,4 +41,18 @@
   }
 };
 
+/// About how many tasks a target runs at most, whatever they ask for: each is an order, a start, a
+/// lease and an end to its agent. Ordinary tasks ask for larger parts of a target.
+inline constexpr int64_t kMaxTasksPerTarget = 256;
+
+/// @param asked resources that the task asks for
+/// @param capacity of the target
+/// @return resources that a task occupies: what it asks for, and at least a small part of the
+///   processor
+inline task_resources OccupiedBy(const task_resources& asked, const task_resources& capacity) {
+  task_resources occupied = asked;
+  occupied.cpu = std::max(asked.cpu, capacity.cpu / kMaxTasksPerTarget);
+  return occupied;
+}
+
 }  // namespace wagtail::leased
--- a/libraries/scheduler/target_table.cc
+++ b/libraries/scheduler/target_table.cc
@@ -54,9 +54,10 @@
 }
 
 task_resources target_table::FreeResources(const row& target) {
-  task_resources free = target.report.load.free;
+  const target_status& load = target.report.load;
+  task_resources free = load.free;
   for (const unreported_order& order : target.unreported) {
-    free -= order.resources;
+    free -= OccupiedBy(order.resources, load.capacity);
   }
   return free;
 }
@@ -73,11 +74,12 @@
 duration target_table::ExpectedWait(const row& target, const task_demand& demand) const {
   const target_status& load = target.report.load;
   task_resources free = FreeFor(target, demand);
-  if (free.Holds(demand.resources)) {
+  task_resources needed = OccupiedBy(demand.resources, load.capacity);
+  if (free.Holds(needed)) {
     return duration::zero();
   }
   duration mean = load.mean_run > duration::zero() ? load.mean_run : kDefaultMeanRunTime;
-  auto missing = static_cast<double>(demand.resources.cpu - free.cpu);
+  auto missing = static_cast<double>(needed.cpu - free.cpu);
   return Scaled(mean, std::max(missing, 0.0) / static_cast<double>(load.capacity.cpu));
 }
 
@@ -178,8 +180,9 @@
 int64_t target_table::StartableTasks(const task_demand& demand, instant now) const {
   int64_t tasks = 0;
   for (const auto& [session, target] : rows_) {
-    if (IsEligible(target, demand, now) && demand.resources.cpu > 0) {
-      tasks += std::max<int64_t>(FreeFor(target, demand).cpu, 0) / demand.resources.cpu;
+    int64_t needed = OccupiedBy(demand.resources, target.report.load.capacity).cpu;
+    if (IsEligible(target, demand, now) && needed > 0) {
+      tasks += std::max<int64_t>(FreeFor(target, demand).cpu, 0) / needed;
     }
   }
   return tasks;
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -189,6 +189,19 @@
   STRCMP_EQUAL("no_room", results[0].reason.c_str());
 }
 
+// Orders of several entries together must not flood a target either.
+TEST(RunController, RefusesTasksThatAskForNothingBeyondALimit) {
+  Ready();
+  for (uint64_t number = 1; number <= kMaxTasksPerTarget + 1; ++number) {
+    run_order order = MakeOrder(number);
+    order.resources = {};
+    controller.Order(order, now);
+  }
+  CHECK_EQUAL(kMaxTasksPerTarget, starts.size());
+  CHECK_EQUAL(1, results.size());
+  STRCMP_EQUAL("no_room", results[0].reason.c_str());
+}
+
 // A caller resubmitted its job through another entry: the newer order waits a limited time for the
 // end of the older run.
 TEST(RunController, WaitsForTheEndOfAnEarlierRunOfTheTask) {
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -95,6 +95,19 @@
   CHECK(answers.at(0).answer.outcome == job_outcome::kFailed);
 }
 
+// A job of ten thousand tasks that ask for nothing kept its agent busy until its sessions ended.
+TEST(JobScheduler, TasksThatAskForNothingDoNotFloodATarget) {
+  AddTarget(1);
+  job_submission job = Job("a", 10'000);
+  job.steps[0].resources = {};
+  Submit(5, std::move(job));
+  CHECK_EQUAL(kMaxTasksPerTarget, orders.size());
+  End(orders[0], run_outcome::kDone);
+  scheduler.OnReport(1, Serving(64'000 / kMaxTasksPerTarget), now);
+  scheduler.Place(now);
+  CHECK_EQUAL(kMaxTasksPerTarget + 1, orders.size());
+}
+
 // The budget for jobs is right only if a job gives its part back when it is gone.
 TEST(JobScheduler, AJobKeepsItsPartOfTheBudgetUntilItEnds) {
   AddTarget(1);
