Share what the tests of untrusted clients have in common

Cause: the set-up of the attacked processes and the script of an unfinished body stood in both test files.

Change: AttackedEntry and AttackedAgent make the attacked processes, crowd_requests has the requests. No crowd, bound or check changes.

--- a/tests/untrusted_clients/attacked_process.cc
+++ b/tests/untrusted_clients/attacked_process.cc
@@ -3,7 +3,6 @@
 #include <cstdio>
 
 #include "absl/strings/str_cat.h"
-#include "tests/fault_soak/soak_caller.h"
 #include "tests/process/polling.h"
 #include "tests/untrusted_clients/process_usage.h"
 // Included last: CppUTest's macros must not affect the library headers.
@@ -57,17 +56,20 @@
   CHECK_TEXT(seen.usage.descriptors <= max_descriptors, text.c_str());
 }
 
-std::string Head(const std::string& path, const std::string& body_header) {
-  return absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: ", kSoakHost,
-                      "\r\nContent-Type: application/json\r\n", body_header, "\r\n\r\n");
+attacked_process AttackedEntry(small_cluster& cluster, const process_limits& limits) {
+  return {.process = cluster.entry(),
+          .limits = limits,
+          .ip = cluster.front().ip,
+          .address = cluster.front(),
+          .request = [&cluster] { return cluster.SubmitJob(); }};
 }
 
-std::string HeadWithLength(const std::string& path, size_t length) {
-  return Head(path, absl::StrCat("Content-Length: ", length));
-}
-
-std::string HeadOfChunks(const std::string& path) {
-  return Head(path, "Transfer-Encoding: chunked");
+attacked_process AttackedAgent(small_cluster& cluster, const process_limits& limits) {
+  return {.process = cluster.agent(),
+          .limits = limits,
+          .ip = cluster.control().ip,
+          .address = cluster.control(),
+          .request = [&cluster] { return cluster.SendHeartbeat(); }};
 }
 
 }  // namespace wagtail::leased
--- a/tests/untrusted_clients/attacked_process.h
+++ b/tests/untrusted_clients/attacked_process.h
@@ -23,15 +23,17 @@
   std::function<bool()> request;  ///< returns whether it was answered 200
 };
 
+/// @param cluster must outlive the result
+/// @return the entry, under callers that send jobs; an ordinary request is a small job
+attacked_process AttackedEntry(small_cluster& cluster, const process_limits& limits);
+
+/// @param cluster must outlive the result
+/// @return the agent, under targets that announce themselves; an ordinary request is a heartbeat
+attacked_process AttackedAgent(small_cluster& cluster, const process_limits& limits);
+
 /// Checks that the process outlives a crowd within its memory and descriptors, and answers an
 /// ordinary request while the crowd is there.
 /// @param script what each client of the crowd sends
 void CheckUnder(const attacked_process& attacked, size_t clients, const crowd_script& script);
 
-/// @return the request line and header of a POST with a JSON body
-/// @param body_header the field that states the length of the body, or how it is sent
-std::string Head(const std::string& path, const std::string& body_header);
-std::string HeadWithLength(const std::string& path, size_t length);
-std::string HeadOfChunks(const std::string& path);
-
 }  // namespace wagtail::leased
--- a/tests/untrusted_clients/untrusted_clients_test.cc
+++ b/tests/untrusted_clients/untrusted_clients_test.cc
@@ -4,6 +4,7 @@
 #include "tests/fault_soak/soak_caller.h"
 #include "tests/untrusted_clients/attacked_process.h"
 #include "tests/untrusted_clients/client_crowd.h"
+#include "tests/untrusted_clients/crowd_requests.h"
 #include "tests/untrusted_clients/small_cluster.h"
 // Included last: CppUTest's macros must not affect the library headers.
 #include <CppUTest/TestHarness.h>
@@ -44,11 +45,6 @@
   return body;
 }
 
-/// @return a body of announced length that stops a byte short of its end
-crowd_script UnfinishedBody(const std::string& path, size_t size) {
-  return {.head = HeadWithLength(path, size), .piece = std::string(size - 1, ' '), .pieces = 1};
-}
-
 /// @return a body in chunks that stops a byte short of the end of its last chunk of data
 crowd_script UnfinishedChunks(const std::string& path, size_t size, size_t chunk) {
   constexpr size_t kPieceBytes = 4096;
@@ -69,16 +65,8 @@
 TEST_GROUP(UntrustedClients) {
   small_cluster cluster{
       {.entry = kEntryLimits, .agent = kAgentLimits, .max_body_bytes = kMaxBodyBytes}};
-  attacked_process entry{.process = cluster.entry(),
-                         .limits = kEntryLimits,
-                         .ip = cluster.front().ip,
-                         .address = cluster.front(),
-                         .request = [this] { return cluster.SubmitJob(); }};
-  attacked_process agent{.process = cluster.agent(),
-                         .limits = kAgentLimits,
-                         .ip = cluster.control().ip,
-                         .address = cluster.control(),
-                         .request = [this] { return cluster.SendHeartbeat(); }};
+  attacked_process entry = AttackedEntry(cluster, kEntryLimits);
+  attacked_process agent = AttackedAgent(cluster, kAgentLimits);
 
   void setup() override { CHECK_TRUE(cluster.WaitUntilServing()); }
 };
--- a/tests/untrusted_clients/untrusted_jobs_test.cc
+++ b/tests/untrusted_clients/untrusted_jobs_test.cc
@@ -5,6 +5,7 @@
 #include "tests/fault_soak/soak_caller.h"
 #include "tests/untrusted_clients/attacked_process.h"
 #include "tests/untrusted_clients/client_crowd.h"
+#include "tests/untrusted_clients/crowd_requests.h"
 #include "tests/untrusted_clients/small_cluster.h"
 // Included last: CppUTest's macros must not affect the library headers.
 #include <CppUTest/TestHarness.h>
@@ -30,10 +31,6 @@
 /// Jobs with ids from here on run for the normal time at the fake target.
 constexpr size_t kFirstShortId = 0x2000'0000'0000'0000;
 
-std::string Request(const std::string& path, const std::string& body) {
-  return HeadWithLength(path, body.size()) + body;
-}
-
 /// @return a job whose caller waits for a day
 std::string JobThatWaits(size_t id, const std::string& steps) {
   std::string body = absl::StrCat(R"({"best_effort":true,"job_spec":"on","steps":[)", steps, "]}");
@@ -79,26 +76,13 @@
   return text + "]";
 }
 
-/// @return a body of announced length that stops a byte short of its end
-crowd_script UnfinishedBody(const std::string& path, size_t size) {
-  return {.head = HeadWithLength(path, size), .piece = std::string(size - 1, ' '), .pieces = 1};
-}
-
 }  // namespace
 
 TEST_GROUP(UntrustedJobs) {
   small_cluster cluster{
       {.entry = kEntryLimits, .agent = kAgentLimits, .max_body_bytes = kMaxBodyBytes}};
-  attacked_process entry{.process = cluster.entry(),
-                         .limits = kEntryLimits,
-                         .ip = cluster.front().ip,
-                         .address = cluster.front(),
-                         .request = [this] { return cluster.SubmitJob(); }};
-  attacked_process agent{.process = cluster.agent(),
-                         .limits = kAgentLimits,
-                         .ip = cluster.control().ip,
-                         .address = cluster.control(),
-                         .request = [this] { return cluster.SendHeartbeat(); }};
+  attacked_process entry = AttackedEntry(cluster, kEntryLimits);
+  attacked_process agent = AttackedAgent(cluster, kAgentLimits);
 
   void setup() override { CHECK_TRUE(cluster.WaitUntilServing()); }
 };
@@ -123,12 +107,8 @@
 
 // Guards against an entry that orders any number of tasks from an agent at once.
 TEST(UntrustedJobs, JobsOfThousandsOfTinyTasksAtAnAgent) {
-  attacked_process attacked{.process = cluster.agent(),
-                            .limits = kAgentLimits,
-                            .ip = cluster.control().ip,
-                            .address = cluster.front(),
-                            .request = [this] { return cluster.SendHeartbeat(); }};
-  CheckUnder(attacked, kClients, JobsThatWait(StepOfTinyTasks()));
+  agent.address = cluster.front();
+  CheckUnder(agent, kClients, JobsThatWait(StepOfTinyTasks()));
 }
 
 // Guards against jobs that hold all connections until their callers' deadline.
