Wait in the process tests until a child runs its program

Cause: child_process returned once it had forked. Until exec a child holds all descriptors of the test, those of its relays' listeners too.

Change: the parent waits until the write end of a pipe is closed by exec.

--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -42,6 +43,26 @@
   _exit(kCannotExecute);
 }
 
+/// Pipe that shows when a child has begun to run its program: its write end is closed then.
+class exec_pipe {
+ public:
+  exec_pipe() { VERIFY(pipe2(ends_.data(), O_CLOEXEC) == 0); }
+  ~exec_pipe() { close(ends_[0]); }
+  exec_pipe(const exec_pipe&) = delete;
+  exec_pipe& operator=(const exec_pipe&) = delete;
+
+  /// Called by the parent after the fork, once.
+  void AwaitExec() {
+    close(ends_[1]);
+    char none = 0;
+    while (read(ends_[0], &none, sizeof(none)) < 0 && errno == EINTR) {
+    }
+  }
+
+ private:
+  std::array<int, 2> ends_{};
+};
+
 }  // namespace
 
 child_process::child_process(const std::string& program, const std::filesystem::path& folder,
@@ -60,11 +81,14 @@
   }
   std::string variable = "WAGTAILPLANK_NODE_FILE=" + settings_path_.string();
   const char* environment = source == settings_way::kNodeFile ? variable.c_str() : nullptr;
+  exec_pipe executed;
   pid_ = fork();
   VERIFY(pid_ >= 0);
   if (pid_ == 0) {
     Execute(path.c_str(), settings_path_.c_str(), environment, output_.c_str(), errors_.c_str());
   }
+  // Until then the child holds the listeners of the test, also while it is stopped.
+  executed.AwaitExec();
 }
 
 child_process::~child_process() { End(); }
