Test crowds of several kinds at once against an entry

Cause: each limit had a test of its own; that they hold together was only reckoned.

Change: CheckUnderCrowds takes several scripts.

--- a/tests/untrusted_clients/attacked_process.cc
+++ b/tests/untrusted_clients/attacked_process.cc
@@ -1,6 +1,12 @@
 #include "tests/untrusted_clients/attacked_process.h"
 
+#include <algorithm>
 #include <cstdio>
+#include <functional>
+#include <iterator>
+#include <memory>
+#include <numeric>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "tests/process/polling.h"
@@ -22,10 +28,14 @@
   process_usage usage{};
 };
 
-behaviour Observe(const attacked_process& attacked, size_t clients, const crowd_script& script) {
+behaviour Observe(const attacked_process& attacked, size_t clients,
+                  std::span<const crowd_script> scripts) {
   usage_sampler sampler(attacked.process.pid(), attacked.ip);
-  client_crowd crowd(attacked.address, clients, script);
-  crowd.WaitUntilQuiet();
+  std::vector<std::unique_ptr<client_crowd>> crowds;
+  std::ranges::transform(scripts, std::back_inserter(crowds), [&](const crowd_script& script) {
+    return std::make_unique<client_crowd>(attacked.address, clients, script);
+  });
+  std::ranges::for_each(crowds, [](const auto& crowd) { crowd->WaitUntilQuiet(); });
   behaviour seen;
   auto has_ended = [&] { return !attacked.process.IsRunning(); };
   Eventually([&] {
@@ -35,16 +45,22 @@
   Eventually(has_ended, kObservation);
   seen.is_alive = !has_ended();
   seen.usage = sampler.peak();
+  size_t held = std::transform_reduce(crowds.begin(), crowds.end(), size_t{0}, std::plus(),
+                                      [](const auto& crowd) { return crowd->open_connections(); });
   std::printf(" (%zu KB, %zu of them unread, %zu descriptors, %zu connections held)",
-              seen.usage.memory_kb, seen.usage.unread_kb, seen.usage.descriptors,
-              crowd.open_connections());
+              seen.usage.memory_kb, seen.usage.unread_kb, seen.usage.descriptors, held);
   return seen;
 }
 
 }  // namespace
 
 void CheckUnder(const attacked_process& attacked, size_t clients, const crowd_script& script) {
-  behaviour seen = Observe(attacked, clients, script);
+  CheckUnderCrowds(attacked, clients, {&script, 1});
+}
+
+void CheckUnderCrowds(const attacked_process& attacked, size_t clients,
+                      std::span<const crowd_script> scripts) {
+  behaviour seen = Observe(attacked, clients, scripts);
   size_t max_kb = attacked.limits.memory_mb * kKilobyte;
   size_t max_descriptors = attacked.limits.max_fds - kSpareDescriptors;
   std::string text =
--- a/tests/untrusted_clients/attacked_process.h
+++ b/tests/untrusted_clients/attacked_process.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <span>
 #include <string>
 
 #include "tests/process/child_process.h"
@@ -36,4 +37,9 @@
 /// @param script what each client of the crowd sends
 void CheckUnder(const attacked_process& attacked, size_t clients, const crowd_script& script);
 
+/// The same for several crowds at once.
+/// @param clients number of each crowd
+void CheckUnderCrowds(const attacked_process& attacked, size_t clients,
+                      std::span<const crowd_script> scripts);
+
 }  // namespace wagtail::leased
--- a/tests/untrusted_clients/untrusted_jobs_test.cc
+++ b/tests/untrusted_clients/untrusted_jobs_test.cc
@@ -1,3 +1,4 @@
+#include <array>
 #include <string>
 
 #include "absl/strings/str_cat.h"
@@ -140,6 +141,19 @@
   CheckUnder(entry, kClients, script);
 }
 
+// Guards against limits that hold one by one, but not together.
+TEST(UntrustedJobs, LargeJobsAndBodiesAtOnce) {
+  std::string path = absl::StrCat(kSoakPath, "00000000deadbeef");
+  crowd_script jobs = JobsThatWait(StepsThatWait(kMaxTasks - 1));
+  jobs.piece = Request(path, "{}");
+  jobs.pieces = 2 * kMaxBodyBytes / jobs.piece.size();
+  crowd_script small = {.piece = Request(path, EmptyContainers(kSmallBodyBytes)),
+                        .pieces = kSmallRequests};
+  crowd_script large = {.piece = Request(path, EmptyContainers(kMaxBodyBytes)), .pieces = 2};
+  std::array scripts = {jobs, small, large, UnfinishedBody(path, kMaxBodyBytes)};
+  CheckUnderCrowds(entry, kClients / scripts.size(), scripts);
+}
+
 // Guards against limits that hold only because descriptors run out before memory does.
 TEST(UntrustedJobs, ManyBodiesShortOfTheirEnd) {
   CheckUnder(entry, kClients,
