Answer 504 to a copy of a running job that finds no memory

Cause: a 503 promises that the job does not run. A copy of a job in progress, sent after a broken connection, for example, was decoded and counted like a new one and answered 503 when the budget for jobs was full, while the first request was still served.

Change: before such a refusal the entry looks whether it has the job, and then answers 504, after which callers send again; no loop turn is spent on other refusals.

--- a/services/dispatchd/dispatch_requests.cc
+++ b/services/dispatchd/dispatch_requests.cc
@@ -54,6 +54,7 @@
     });
   };
   hooks.decode = [this](std::string_view body) { return DecodeJob(body); };
+  hooks.in_progress = [this](std::string_view job) { return IsInProgress(job); };
   hooks.submit = [this](front_request& request) { return Submit(request); };
   hooks.cancel = [this](front_request& request) { return Cancel(request); };
   hooks.state = [this](front_request& request) { return JobState(request); };
@@ -136,6 +137,16 @@
   return platform::WriteAnswer(*answer);
 }
 
+bool dispatch_service::IsInProgress(std::string_view job) {
+  bool found = false;
+  loop_.Run([&] {
+    found = scheduler_->HasJob(std::string(job)) ||
+            std::ranges::any_of(
+                arrivals_, [job](const arrival& waiting) { return waiting.submission.id == job; });
+  });
+  return found;
+}
+
 void dispatch_service::AdmitArrivals() {
   for (arrival& admitted : std::exchange(arrivals_, {})) {
     instant now = BootTimeNow();
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -82,6 +82,7 @@
   size_t MaxBodyBytes() const;
   std::optional<duration> AwaitPlan(duration deadline);
   http_response Submit(front_request& request);
+  bool IsInProgress(std::string_view job);
   void AdmitArrivals();
   http_response Cancel(const front_request& request);
   http_response JobState(const front_request& request);
--- a/services/dispatchd/front_filters.cc
+++ b/services/dispatchd/front_filters.cc
@@ -16,6 +16,7 @@
 constexpr int kWrongMethod = 405;
 constexpr int kTooLarge = 413;
 constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
 constexpr duration kNoRetry{0};
 /// Retry delay for an entry that is stopping, overloaded, has no plan yet or does not support the
 /// kind of job.
@@ -58,13 +59,18 @@
 }
 
 /// @param error why a job was not decoded, or not kept
-http_response RefusalOf(const absl::Status& error) {
+http_response RefusalOf(const front_hooks& hooks, const front_request& request,
+                        const absl::Status& error) {
   using platform::platform_error;
   std::string message = MessageOf(error);
   switch (ErrorOf<platform_error>(error).value_or(platform_error::kBadMessage)) {
     case platform_error::kUnsupported:
       return platform::WriteRefusal(kUnavailable, "kind_of_job_not_built", kRetry);
     case platform_error::kNoMemory:
+      if (hooks.in_progress(request.job)) {
+        // A 503 would say that the job does not run.
+        return platform::WriteRefusal(kGatewayTimeout, "job_in_progress", kNoRetry);
+      }
       return platform::WriteRefusal(kUnavailable, message, kRetry);
     case platform_error::kTooLarge:
       return platform::WriteRefusal(kTooLarge, message, kNoRetry);
@@ -81,7 +87,7 @@
   if (!job.ok()) {
     LogFact(log_level::kWarning, "job_refused",
             {{"job", request.job}, {"reason", MessageOf(job.status())}});
-    return RefusalOf(job.status());
+    return RefusalOf(hooks, request, job.status());
   }
   duration fallback =
       request.queue.timeout > duration::zero() ? request.queue.timeout : kDefaultDeadline;
--- a/tests/dispatchd/job_memory_test.cc
+++ b/tests/dispatchd/job_memory_test.cc
@@ -61,6 +61,7 @@
 
 TEST(JobMemory, ARefusalSaysThatNothingRanAndWhetherToComeBack) {
   absl::Status error;
+  bool in_progress = false;
   front_hooks hooks;
   hooks.stopping = [] { return false; };
   hooks.busy = [] { return false; };
@@ -69,6 +70,7 @@
     return queue_match{.max_body_bytes = 1000, .queue = queue_plan{.path_prefix = "/q/"}};
   };
   hooks.decode = [&](std::string_view) -> absl::StatusOr<platform::job_body> { return error; };
+  hooks.in_progress = [&](std::string_view) { return in_progress; };
   hooks.submit = [](front_request&) {
     FAIL("a refused job was submitted");
     return http_response{};
@@ -78,6 +80,9 @@
   http_response refusal = RunFrontFilters(MakeFrontFilters(hooks), request);
   CHECK_EQUAL(503, refusal.status);
   STRCMP_EQUAL("1", refusal.headers["retry-after"].c_str());
+  // A copy of a job that runs: 503 would be untrue.
+  in_progress = true;
+  CHECK_EQUAL(504, RunFrontFilters(MakeFrontFilters(hooks), request).status);
   error = MakeError(platform_error::kTooLarge, "job_too_large");
   refusal = RunFrontFilters(MakeFrontFilters(hooks), request);
   CHECK_EQUAL(413, refusal.status);
