Give up the longest large job where another one finds no memory

Nine jobs of 10,000 tasks would do the same. Small jobs were served from their reserve.

Change: a refusal for lack of memory gives up the large job that has been in progress longest, and for over 10 s, so that the refused caller finds room when it comes back. Its caller is told 504, or 503 if nothing of it was placed, which is true.

--- a/libraries/base/memory_budget.h
+++ b/libraries/base/memory_budget.h
@@ -46,6 +46,7 @@
   static std::shared_ptr<const memory_reservation> Make(std::shared_ptr<memory_budget> budget,
                                                         size_t bytes);
   ~memory_reservation() { budget_->Release(bytes_); }
+  size_t bytes() const { return bytes_; }
   memory_reservation(const memory_reservation&) = delete;
   memory_reservation& operator=(const memory_reservation&) = delete;
 
--- a/libraries/scheduler/job_scheduler.cc
+++ b/libraries/scheduler/job_scheduler.cc
@@ -311,14 +311,38 @@
 
 void job_scheduler::AbandonAll(std::string_view reason) {
   while (!jobs_.empty()) {
-    const auto& [id, owner] = *jobs_.begin();
-    job_outcome outcome = HasBegun(owner) ? job_outcome::kAbandoned : job_outcome::kRefused;
-    Answer(std::string(id), {.outcome = outcome,
-                             .reason = std::string(reason),
-                             .retry_after = options_.min_retry_after});
+    GiveUp(std::string(jobs_.begin()->first), reason);
   }
 }
 
+void job_scheduler::GiveUpLargeJob(instant now) {
+  auto may_give_way = [&](const job& owner) {
+    const auto& memory = owner.submission.memory;
+    return memory != nullptr && memory->bytes() > kSmallReservationBytes &&
+           now - owner.arrived > options_.large_job_grace;
+  };
+  auto longest = jobs_.end();
+  for (auto each = jobs_.begin(); each != jobs_.end(); ++each) {
+    bool is_longer = longest == jobs_.end() || each->second.arrived < longest->second.arrived;
+    if (is_longer && may_give_way(each->second)) {
+      longest = each;
+    }
+  }
+  if (longest != jobs_.end()) {
+    LogEvent("job_gave_way", longest->first,
+             "in progress for " + std::to_string(ToMilliseconds(now - longest->second.arrived)) +
+                 " ms, memory " + std::to_string(longest->second.submission.memory->bytes()));
+    GiveUp(std::string(longest->first), "gave_way");
+  }
+}
+
+void job_scheduler::GiveUp(const std::string& id, std::string_view reason) {
+  job_outcome outcome = HasBegun(jobs_.at(id)) ? job_outcome::kAbandoned : job_outcome::kRefused;
+  Answer(
+      id,
+      {.outcome = outcome, .reason = std::string(reason), .retry_after = options_.min_retry_after});
+}
+
 void job_scheduler::WithdrawAll(job& owner) {
   for (step& each : owner.steps) {
     for (task& item : each.tasks) {
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -53,6 +53,8 @@
   /// that may not have ended when the entry ends, and a late job starts only if it is expected to
   /// end before its caller's deadline.
   double max_run_factor = 2;
+  /// A large job that has been in progress for this long gives way to one that finds no memory.
+  duration large_job_grace = std::chrono::seconds(10);
   /// Maximum number of jobs in progress.
   size_t max_jobs = 4000;
   /// Decides about the jobs of services whose queues differ in priority, while targets are full.
@@ -102,6 +104,9 @@
   void DrainUntil(instant end) { end_ = end; }
   /// Answers all jobs, since the entry ends now.
   void AbandonAll(std::string_view reason);
+  /// Another job finds no memory: gives up the large job that is here longest and for longer than
+  /// the grace, if there is one. Small jobs have a part of the memory of their own.
+  void GiveUpLargeJob(instant now);
   void SetPlan(const operating_plan& plan);
   void OnSessionOpened(session_id session, const agent_identity& agent, instant now);
   void OnReport(session_id session, const session_report& report, instant now);
@@ -233,6 +238,8 @@
   bool PlaceTask(job& owner, uint32_t step_number, uint32_t index, order_batch& batch, instant now);
   void OnTaskFailed(job& owner, task& failed, const std::string& agent);
   void Answer(const std::string& id, const job_answer& answer);
+  /// Answers a job that this scheduler does not go on with.
+  void GiveUp(const std::string& id, std::string_view reason);
   void SetState(job& owner, task& item, task_state state);
   void WithdrawAll(job& owner);
   void SettleTasks(const std::string& address, instant now, bool at_once);
--- a/services/dispatchd/dispatch_requests.cc
+++ b/services/dispatchd/dispatch_requests.cc
@@ -2,9 +2,11 @@
 #include <limits>
 #include <utility>
 
+#include "base/layer_error.h"
 #include "base/try.h"
 #include "logging/logging.h"
 #include "platform/job_json.h"
+#include "platform/platform_error.h"
 #include "services/dispatchd/dispatch_service.h"
 
 /// @file
@@ -72,6 +74,13 @@
   };
   absl::Status reserved;
   TRY(listeners_.decoder().Run(body, [&] { reserved = read(); }));
+  if (ErrorOf<platform::platform_error>(reserved) == platform::platform_error::kNoMemory) {
+    // The refused caller finds room when it comes back.
+    loop_.Post([this] {
+      scheduler_->GiveUpLargeJob(BootTimeNow());
+      ScheduleTurn();
+    });
+  }
   TRY(reserved);
   return job;
 }
--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -128,6 +128,36 @@
   CHECK_EQUAL(0, budget->held_bytes());
 }
 
+// Nine jobs of ten thousand tasks kept every larger job out until their callers' deadline.
+TEST(JobScheduler, ALargeJobGivesWayToOneThatFindsNoMemory) {
+  AddTarget(1, 6000);
+  auto budget = std::make_shared<memory_budget>(
+      memory_budget_options{.total_bytes = 4 << 20, .small_reserve_bytes = 1 << 20});
+  auto submit = [&](request_serial serial, const std::string& id, size_t bytes) {
+    job_submission job = Job(id, 1);
+    job.deadline = std::chrono::hours(24);
+    job.queue.allowance = std::chrono::hours(24);
+    job.memory = memory_reservation::Make(budget, bytes);
+    Submit(serial, std::move(job));
+  };
+  submit(1, "small", kSmallReservationBytes);
+  now += Ms(1);
+  submit(2, "first", 1 << 20);
+  now += Ms(1);
+  submit(3, "second", 1 << 20);
+  CHECK_EQUAL(1, orders.size());
+  now += std::chrono::seconds(9);
+  scheduler.GiveUpLargeJob(now);
+  CHECK_EQUAL(0, answers.size());
+  now += std::chrono::seconds(2);
+  scheduler.GiveUpLargeJob(now);
+  CHECK_EQUAL(1, answers.size());
+  CHECK_EQUAL(2, answers[0].serial);
+  // Nothing of it ran, and the answer says so.
+  CHECK(answers[0].answer.outcome == job_outcome::kRefused);
+  CHECK_EQUAL(kSmallReservationBytes + (1 << 20), budget->held_bytes());
+}
+
 TEST(JobScheduler, ATaskThatTwiceRanBesideACrashingOneIsTriedAgain) {
   AddTarget(1);
   AddTarget(2);
--- a/tests/untrusted_clients/untrusted_jobs_test.cc
+++ b/tests/untrusted_clients/untrusted_jobs_test.cc
@@ -32,17 +32,24 @@
 /// Jobs with ids from here on run for the normal time at the fake target.
 constexpr size_t kFirstShortId = 0x2000'0000'0000'0000;
 
-/// @return a job whose caller waits for a day
-std::string JobThatWaits(size_t id, const std::string& steps) {
+/// @param steps comma-separated objects, the steps of the job
+/// @param deadline_ms how long the caller waits
+/// @return the request that submits a job
+std::string JobWithDeadline(size_t id, const std::string& steps, int64_t deadline_ms) {
   std::string body = absl::StrCat(R"({"best_effort":true,"job_spec":"on","steps":[)", steps, "]}");
   std::string path = kSoakPath + absl::StrFormat("%016x", id);
-  return Head(path, absl::StrCat("Deadline-Ms: 86400000\r\nContent-Length: ", body.size())) + body;
+  return Head(path,
+              absl::StrCat("Deadline-Ms: ", deadline_ms, "\r\nContent-Length: ", body.size())) +
+         body;
 }
 
-/// @param steps comma-separated objects, the steps of each job
+/// @param steps of each job, whose caller waits for a day
 /// @param first_id tasks run for seconds at the fake target if it is below kFirstShortId
 crowd_script JobsThatWait(const std::string& steps, size_t first_id = kFirstShortId) {
-  return {.head_of = [=](size_t connection) { return JobThatWaits(first_id + connection, steps); }};
+  constexpr int64_t kDayMs = 86'400'000;
+  return {.head_of = [=](size_t connection) {
+    return JobWithDeadline(first_id + connection, steps, kDayMs);
+  }};
 }
 
 /// First step of a job that is admitted whatever else waits: its task can start at once.
@@ -93,7 +100,17 @@
   CheckUnder(entry, kClients, JobsThatWait(StepsThatWait(kMaxTasks - 1)));
 }
 
-// Guards against the same where all tasks may start at once.
+// Guards against jobs that leave room for small ones only until their callers' deadline.
+TEST(UntrustedJobs, LargeJobsThatWaitLeaveRoomForOtherLargeOnes) {
+  entry.request = [this, id = kFirstShortId]() mutable {
+    return IsAnsweredOk(entry.address,
+                        JobWithDeadline(++id, R"({"count":500,"cpu":1,"estimate_ms":20})", 4000));
+  };
+  std::string steps = absl::StrCat(kFirstStep, R"(,{"count":499,"cpu":19000,"after":[0]})");
+  CheckUnder(entry, kClients, JobsThatWait(steps, 0));
+}
+
+// Guards against any number of tasks that may all start at once.
 TEST(UntrustedJobs, JobsOfOneStepOfThousandsOfTasks) {
   CheckUnder(entry, kClients, JobsThatWait(StepOfTinyTasks()));
 }
