--- a/tests/scheduler/job_scheduler_test.cc
+++ b/tests/scheduler/job_scheduler_test.cc
@@ -1,84 +1,10 @@
-#include "scheduler/job_scheduler.h"
-
-#include <algorithm>
-#include <optional>
-
+#include "tests/scheduler/job_scheduler_fixture.h"
+// Included last: CppUTest's macros must not affect the library headers.
 #include <CppUTest/TestHarness.h>
 
 namespace wagtail::leased {
-namespace {
-
-constexpr instant kStart{std::chrono::seconds(1000)};
-
-duration Ms(int64_t count) { return std::chrono::milliseconds(count); }
 
-}  // namespace
-
-TEST_GROUP(JobScheduler) {
-  struct received_answer {
-    request_serial serial;
-    job_answer answer;
-  };
-  std::vector<task_order> orders;
-  std::vector<session_id> sessions;
-  std::vector<uint64_t> withdrawn;
-  std::vector<received_answer> answers;
-  instant now = kStart;
-  job_scheduler scheduler{job_scheduler_options{},
-                          [this](const order_batch& batch) {
-                            for (const task_order& order : batch.orders) {
-                              orders.push_back(order);
-                              sessions.push_back(batch.session);
-                            }
-                          },
-                          [this](session_id, uint64_t order) { withdrawn.push_back(order); },
-                          [this](request_serial serial, const job_answer& answer) {
-                            answers.push_back({serial, answer});
-                          },
-                          [](const job_log_event&) {}};
-
-  session_report Serving(int64_t free_cpu = 64'000, bool settled = true) {
-    return {.load = {.state = target_availability::kServing,
-                     .target = "i-1",
-                     .service = "lights",
-                     .capacity = {.cpu = 64'000, .mem_mb = 1000, .gpu = 0},
-                     .free = {.cpu = free_cpu, .mem_mb = 1000, .gpu = 0}},
-            .entries = 1,
-            .orders_seen = orders.empty() ? 0 : orders.back().order,
-            .settled = settled};
-  }
-  void AddTarget(session_id session, int64_t free_cpu = 64'000) {
-    std::string name = "agent-" + std::to_string(session);
-    scheduler.OnSessionOpened(session, {.name = name, .address = name, .domain = "zone-1"}, now);
-    scheduler.OnReport(session, Serving(free_cpu), now);
-  }
-  job_submission Job(const std::string& id, uint32_t count = 2, unsigned attempts = 2) {
-    return {.id = id,
-            .text = std::make_shared<const std::string>("on"),
-            .queue = {.name = "q",
-                      .service = "lights",
-                      .max_attempts = attempts,
-                      .stretch = 1.6,
-                      .allowance = Ms(60)},
-            .steps = {{.count = count,
-                       .resources = {.cpu = 6000, .mem_mb = 10, .gpu = 0},
-                       .estimate = Ms(100)}},
-            .deadline = Ms(1900)};
-  }
-  void Submit(request_serial serial, job_submission job) {
-    scheduler.Submit(serial, std::move(job), now);
-    scheduler.Place(now);
-  }
-  void End(const task_order& order, run_outcome outcome, const std::string& reason = "") {
-    scheduler.OnResult({.session = 1,
-                        .order = order.order,
-                        .task = order.task,
-                        .outcome = outcome,
-                        .reason = reason,
-                        .run = order.run});
-    scheduler.Place(now);
-  }
-};
+TEST_GROUP_BASE(JobScheduler, job_scheduler_fixture){};
 
 TEST(JobScheduler, ATaskThatCrashedTwoTargetsIsGivenUpAsFailed) {
   AddTarget(1);
@@ -95,69 +21,6 @@
   CHECK(answers.at(0).answer.outcome == job_outcome::kFailed);
 }
 
-// A job of ten thousand tasks that ask for nothing kept its agent busy until its sessions ended.
-TEST(JobScheduler, TasksThatAskForNothingDoNotFloodATarget) {
-  AddTarget(1);
-  job_submission job = Job("a", 10'000);
-  job.steps[0].resources = {};
-  Submit(5, std::move(job));
-  CHECK_EQUAL(kMaxTasksPerTarget, orders.size());
-  End(orders[0], run_outcome::kDone);
-  scheduler.OnReport(1, Serving(64'000 / kMaxTasksPerTarget), now);
-  scheduler.Place(now);
-  CHECK_EQUAL(kMaxTasksPerTarget + 1, orders.size());
-}
-
-// The budget for jobs is right only if a job gives its part back when it is gone.
-TEST(JobScheduler, AJobKeepsItsPartOfTheBudgetUntilItEnds) {
-  AddTarget(1);
-  auto budget = std::make_shared<memory_budget>(
-      memory_budget_options{.total_bytes = 1000, .small_reserve_bytes = 0});
-  job_submission first = Job("a", 1);
-  first.memory = memory_reservation::Make(budget, 600);
-  Submit(5, std::move(first));
-  CHECK_EQUAL(600, budget->held_bytes());
-  // A caller that sends the same job again holds no second part.
-  job_submission again = Job("a", 1);
-  again.memory = memory_reservation::Make(budget, 400);
-  Submit(6, std::move(again));
-  CHECK_EQUAL(600, budget->held_bytes());
-  scheduler.CallerGone(5);
-  CHECK_EQUAL(600, budget->held_bytes());
-  End(orders.at(0), run_outcome::kDone);
-  CHECK_EQUAL(0, budget->held_bytes());
-}
-
-// Nine jobs of ten thousand tasks kept every larger job out until their callers' deadline.
-TEST(JobScheduler, ALargeJobGivesWayToOneThatFindsNoMemory) {
-  AddTarget(1, 6000);
-  auto budget = std::make_shared<memory_budget>(
-      memory_budget_options{.total_bytes = 4 << 20, .small_reserve_bytes = 1 << 20});
-  auto submit = [&](request_serial serial, const std::string& id, size_t bytes) {
-    job_submission job = Job(id, 1);
-    job.deadline = std::chrono::hours(24);
-    job.queue.allowance = std::chrono::hours(24);
-    job.memory = memory_reservation::Make(budget, bytes);
-    Submit(serial, std::move(job));
-  };
-  submit(1, "small", kSmallReservationBytes);
-  now += Ms(1);
-  submit(2, "first", 1 << 20);
-  now += Ms(1);
-  submit(3, "second", 1 << 20);
-  CHECK_EQUAL(1, orders.size());
-  now += std::chrono::seconds(9);
-  scheduler.GiveUpLargeJob(now);
-  CHECK_EQUAL(0, answers.size());
-  now += std::chrono::seconds(2);
-  scheduler.GiveUpLargeJob(now);
-  CHECK_EQUAL(1, answers.size());
-  CHECK_EQUAL(2, answers[0].serial);
-  // Nothing of it ran, and the answer says so.
-  CHECK(answers[0].answer.outcome == job_outcome::kRefused);
-  CHECK_EQUAL(kSmallReservationBytes + (1 << 20), budget->held_bytes());
-}
-
 TEST(JobScheduler, ATaskThatTwiceRanBesideACrashingOneIsTriedAgain) {
   AddTarget(1);
   AddTarget(2);
