--- a/tests/scheduler/job_limits_test.cc
+++ b/tests/scheduler/job_limits_test.cc
@@ -70,4 +70,13 @@
   CHECK_EQUAL(kSmallReservationBytes + (1 << 20), budget->held_bytes());
 }
 
+// Tasks that wait for memory were ordered and refused again a thousand times a second.
+TEST(JobLimits, NothingIsOrderedFromATargetWhoseMemoryIsTaken) {
+  AddTarget(1);
+  job_submission job = Job("a", 2);
+  job.steps[0].resources = {.cpu = 6000, .mem_mb = 1000, .gpu = 0};
+  Submit(5, std::move(job));
+  CHECK_EQUAL(1, orders.size());
+}
+
 }  // namespace wagtail::leased
