--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -48,12 +48,12 @@
 }
 
 TEST(NodeSettings, ReadsTheLimits) {
-  absl::StatusOr<node_settings> settings =
-      ParseNodeSettings(kText +
-                        "limits.memory_mb=160\nlimits.max_fds=1024\nhttp.max_connections=200\n"
-                        "http.max_request_memory_kb=2048\nhttp.max_job_memory_kb=4096\n"
-                        "http.header_timeout_ms=1500\n"
-                        "http.body_timeout_ms=2500\nhttp.idle_timeout_ms=3500\nhttp.handler_grace_ms=4500\n");
+  absl::StatusOr<node_settings> settings = ParseNodeSettings(
+      kText +
+      "limits.memory_mb=160\nlimits.max_fds=1024\nhttp.max_connections=200\n"
+      "http.max_request_memory_kb=2048\nhttp.max_job_memory_kb=4096\n"
+      "http.header_timeout_ms=1500\n"
+      "http.body_timeout_ms=2500\nhttp.idle_timeout_ms=3500\nhttp.handler_grace_ms=4500\n");
   CHECK(settings.ok());
   CHECK_EQUAL(160, settings->memory_mb);
   CHECK_EQUAL(1024, settings->max_fds);
@@ -76,7 +76,8 @@
 TEST(NodeSettings, RejectsAnInvalidLimitWithItsKey) {
   for (const char* key :
        {"http.max_connections", "http.max_request_memory_kb", "http.max_job_memory_kb",
-        "http.header_timeout_ms", "http.body_timeout_ms", "http.idle_timeout_ms", "http.handler_grace_ms"}) {
+        "http.header_timeout_ms", "http.body_timeout_ms", "http.idle_timeout_ms",
+        "http.handler_grace_ms"}) {
     for (const char* value : {"0", "-1", "x", "1e3", "99999999999999999999", "500x"}) {
       absl::StatusOr<node_settings> settings = ParseNodeSettings(kText + key + "=" + value + "\n");
       CHECK(!settings.ok());
