--- a/meta/test.sh
+++ b/meta/test.sh
@@ -10,7 +10,8 @@
 trap 'rm -f "$log"' EXIT
 (cd "$WAGTAIL_BUILD" && ctest -j 4 --output-on-failure --no-tests=error -V) >"$log" 2>&1
 ctest_code=$?
-grep -E 'error: Failure in TEST|^[0-9]+: +(expected|but was)' "$log"
+# The lines after a failure have its message.
+grep -E -A 4 'error: Failure in TEST|^[0-9]+: +(expected|but was)' "$log"
 total=$(grep -oE '\(([0-9]+ failures?, )?[0-9]+ tests, [0-9]+ ran' "$log" | grep -oE '[0-9]+ ran' | awk '{n+=$1} END{print n+0}')
 known=0 unknown=0
 while read -r program case; do
