Expect no run to end sooner than runs usually do at its target

Seen: with 400 clients whose legal jobs state no estimate, or one of 1 ms, for tasks of 1.7 s, no ordinary job of eight tasks was answered in 40 s, though a sixth of the target was free for them. Agents stopped 141 to 160 runs as `target_stalled`, the ordinary ones among them.

Cause: a run counts as overdue after twice what its job estimates and 50 ms more. Without an estimate that is 50 ms after its start, so that three such runs of two jobs made the target count as stalled and its runs as failed. A target that fails gets one task in 500 ms, and one overdue run is then enough to stop it again. In LargeJobsThatWait... an ordinary job starts 121 tasks at once and estimates a sixth of their duration; beside a running task of another job that is a stall. Whether one runs is left to chance there: mostly the job that gives way is the running one. LongTasksBesideAJobOfManyTasks is that case without the chance, with jobs that overtake the longest one.

Change: a run is expected to take at least as long as the shortest quarter of the last runs at its target did, whatever its job estimates. Ordinary estimates are above that.

RunsOfUsualDurationAreNoStallWhateverWasEstimated is new.

--- a/libraries/leases/run_controller.h
+++ b/libraries/leases/run_controller.h
@@ -199,7 +199,6 @@
   void CheckLapse(instant now);
   void AllowForOtherIncarnation(instant now);
   void Expire(instant now);
-  instant OverdueFrom(const tracked_run& run) const;
   /// @return serials of the overdue runs if the target is stalled, otherwise none
   std::vector<uint64_t> StalledRuns(instant now) const;
   /// Stops the overdue runs of a stalled target, so that they are started elsewhere.
--- a/libraries/leases/run_speed.cc
+++ b/libraries/leases/run_speed.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <vector>
 
 namespace wagtail::leased {
 namespace {
@@ -19,6 +20,7 @@
 
 void run_speed::Done(duration ran, duration estimate) {
   PushBounded(failures_, false, kWindow);
+  PushBounded(durations_, ran, kWindow);
   double ran_us = static_cast<double>(std::max<int64_t>(ran.count(), 1));
   mean_run_us_ = mean_run_us_ == 0 ? ran_us : mean_run_us_ + kMeanGain * (ran_us - mean_run_us_);
   if (estimate > duration::zero()) {
@@ -30,6 +32,7 @@
 
 void run_speed::Reset() {
   log_ratios_.clear();
+  durations_.clear();
   failures_.clear();
   mean_run_us_ = 0;
 }
@@ -54,4 +57,14 @@
 
 duration run_speed::mean_run() const { return duration(static_cast<int64_t>(mean_run_us_)); }
 
+duration run_speed::short_run() const {
+  if (durations_.empty()) {
+    return duration::zero();
+  }
+  std::vector<duration> sorted(durations_.begin(), durations_.end());
+  auto quarter = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 4);
+  std::ranges::nth_element(sorted, quarter);
+  return *quarter;
+}
+
 }  // namespace wagtail::leased
--- a/libraries/leases/run_speed.h
+++ b/libraries/leases/run_speed.h
@@ -29,6 +29,8 @@
   double failing() const;
   /// @return mean duration of the last runs that were done
   duration mean_run() const;
+  /// @return duration that three of four of the last runs exceeded, 0 if none was done
+  duration short_run() const;
 
  private:
   /// Weight of each new run in the moving average of the duration.
@@ -36,6 +38,7 @@
   static constexpr size_t kMinSamples = 4;
 
   std::deque<double> log_ratios_;
+  std::deque<duration> durations_;
   std::deque<bool> failures_;
   double mean_run_us_ = 0;
 };
--- a/libraries/leases/stalled_target.cc
+++ b/libraries/leases/stalled_target.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 #include <string_view>
 
@@ -8,24 +9,26 @@
 
 namespace wagtail::leased {
 
-instant run_controller::OverdueFrom(const tracked_run& run) const {
-  duration expected = Scaled(run.order.estimate, speed_.slowness());
-  return run.started + Scaled(expected, options_.overdue_factor) + options_.overdue_slack;
-}
-
 std::vector<uint64_t> run_controller::StalledRuns(instant now) const {
   bool speed_known = incarnation_->last_result != instant{};
   if (!speed_known) {
     return {};
   }
+  auto overdue_from = [&, slowness = speed_.slowness(),
+                       short_run = speed_.short_run()](const tracked_run& run) {
+    // Callers' estimates may be far too low, or be left out.
+    duration expected = std::max(Scaled(run.order.estimate, slowness), short_run);
+    return run.started + Scaled(expected, options_.overdue_factor) + options_.overdue_slack;
+  };
   std::vector<uint64_t> overdue;
   std::set<std::string_view> jobs;
   for (const auto& [serial, run] : runs_) {
-    instant from = OverdueFrom(run);
-    if (run.state == run_state::kRunning && from <= now && from >= incarnation_->last_result) {
-      overdue.push_back(serial);
-      jobs.insert(run.order.task.job);
+    instant from = overdue_from(run);
+    if (run.state != run_state::kRunning || from > now || from < incarnation_->last_result) {
+      continue;
     }
+    overdue.push_back(serial);
+    jobs.insert(run.order.task.job);
   }
   // On a target with a high failure rate a single overdue run suffices.
   bool known_to_fail = speed_.failing() >= options_.failing_limit && !overdue.empty();
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -281,6 +281,23 @@
   CHECK_EQUAL(0, stops.size());
 }
 
+// Jobs without estimates made a target count as stalled, and its ordinary jobs were stopped too.
+TEST(RunController, RunsOfUsualDurationAreNoStallWhateverWasEstimated) {
+  Ready();
+  LearnSpeed();
+  for (uint64_t number = 1; number <= 3; ++number) {
+    run_order order = MakeOrder(number, 2000);
+    order.task.job = number == 1 ? "aa" : "bb";
+    order.estimate = Ms(number - 1);
+    controller.Order(order, now);
+    controller.OnStartAnswered(starts.at(number).serial, start_answer::kStarted, ClockMs(), now);
+  }
+  Advance(Ms(240));
+  CHECK_EQUAL(0, stops.size());
+  Advance(Ms(20));
+  CHECK_EQUAL(3, stops.size());
+}
+
 TEST(RunController, StopsTheRunsOfASessionWhoseLeaseExpired) {
   Ready();
   controller.Order(MakeOrder(1), now);
--- a/tests/leases/run_speed_test.cc
+++ b/tests/leases/run_speed_test.cc
@@ -35,6 +35,17 @@
   DOUBLES_EQUAL(1.0, speed.slowness(), 0.01);
 }
 
+TEST(RunSpeed, LongRunsDoNotRaiseTheShortOne) {
+  CHECK_EQUAL(0, ToMilliseconds(speed.short_run()));
+  for (int run = 0; run < 12; ++run) {
+    speed.Done(9 * kEstimate, kEstimate);
+  }
+  for (int run = 0; run < 5; ++run) {
+    speed.Done(kEstimate, kEstimate);
+  }
+  CHECK_EQUAL(100, ToMilliseconds(speed.short_run()));
+}
+
 TEST(RunSpeed, DetectsATargetThatFailsEverything) {
   for (int run = 0; run < 3; ++run) {
     speed.Failed();
--- a/tests/untrusted_clients/untrusted_jobs_test.cc
+++ b/tests/untrusted_clients/untrusted_jobs_test.cc
@@ -1,4 +1,5 @@
 #include <array>
+#include <functional>
 #include <string>
 
 #include "absl/strings/str_cat.h"
@@ -27,6 +28,9 @@
 constexpr size_t kSmallRequests = 20;
 /// Limit on the tasks of a job.
 constexpr size_t kMaxTasks = 10'000;
+constexpr int64_t kDayMs = 86'400'000;
+/// Few enough for a job that fits into the part of the memory for small ones.
+constexpr size_t kTasksOfASmallJob = 80;
 constexpr const char* kHeartbeatPath = "/-/Instances.Heartbeat/crowd";
 
 /// Jobs with ids from here on run for the normal time at the fake target.
@@ -46,18 +50,34 @@
 /// @param steps of each job, whose caller waits for a day
 /// @param first_id tasks run for seconds at the fake target if it is below kFirstShortId
 crowd_script JobsThatWait(const std::string& steps, size_t first_id = kFirstShortId) {
-  constexpr int64_t kDayMs = 86'400'000;
   return {.head_of = [=](size_t connection) {
     return JobWithDeadline(first_id + connection, steps, kDayMs);
   }};
 }
 
-/// First step of a job that is admitted whatever else waits: its task can start at once.
-constexpr const char* kFirstStep = R"({"count":1,"cpu":1,"estimate_ms":86400000})";
+/// @return first step of a job that is admitted whatever else waits: its task can start at once
+std::string FirstStep(int64_t estimate_ms = kDayMs) {
+  return absl::StrCat(R"({"count":1,"cpu":1,"estimate_ms":)", estimate_ms, "}");
+}
+
+/// @return a second step whose tasks run one after the other and leave room for others
+std::string StepOfLongTasks(size_t count) {
+  return absl::StrCat(R"(,{"count":)", count, R"(,"cpu":19000,"after":[0]})");
+}
+
+/// @return long jobs of which later ones start first: the one that waits longest is not running
+crowd_script JobsThatOvertake() {
+  return {.head_of = [](size_t connection) {
+    constexpr int64_t kStepMs = 1000;
+    int64_t estimate_ms = kDayMs - kStepMs * static_cast<int64_t>(connection);
+    return JobWithDeadline(connection, FirstStep(estimate_ms) + StepOfLongTasks(kTasksOfASmallJob),
+                           kDayMs);
+  }};
+}
 
 /// @return a first step, and one whose tasks wait for room
 std::string StepsThatWait(size_t tasks) {
-  return absl::StrCat(kFirstStep, R"(,{"count":)", tasks,
+  return absl::StrCat(FirstStep(), R"(,{"count":)", tasks,
                       R"(,"cpu":6000,"estimate_ms":86400000,"after":[0]})");
 }
 
@@ -68,13 +88,19 @@
 
 /// @return steps that each need the whole target, all after the first one
 std::string StepsOfOneTask(size_t count) {
-  std::string steps = kFirstStep;
+  std::string steps = FirstStep();
   for (size_t number = 1; number < count; ++number) {
     steps += R"(,{"count":1,"cpu":36000,"after":[0]})";
   }
   return steps;
 }
 
+/// @return a first step, and a task of which three run at once and leave a sixth of the target
+std::string StepsThatLeaveRoom(int64_t estimate_ms) {
+  return absl::StrCat(FirstStep(), R"(,{"count":1,"cpu":10000,"after":[0],"estimate_ms":)",
+                      estimate_ms, "}");
+}
+
 /// @return a JSON text of almost `size` bytes, whose decoded form is many times as large
 std::string EmptyContainers(size_t size) {
   std::string text = "[[]";
@@ -93,6 +119,24 @@
   attacked_process agent = AttackedAgent(cluster, kAgentLimits);
 
   void setup() override { CHECK_TRUE(cluster.WaitUntilServing()); }
+
+  /// @return request of a large job
+  std::function<bool()> OrdinaryJobOfManyTasks() {
+    return [this, id = kFirstShortId]() mutable {
+      constexpr int64_t kDeadlineMs = 4000;
+      std::string steps = R"({"count":500,"cpu":1,"estimate_ms":20})";
+      return IsAnsweredOk(entry.address, JobWithDeadline(++id, steps, kDeadlineMs));
+    };
+  }
+
+  /// @return request of a job whose tasks run for about as long as it estimates
+  std::function<bool()> OrdinaryJobOfSomeTasks() {
+    return [this, id = kFirstShortId]() mutable {
+      constexpr int64_t kDeadlineMs = 2200;
+      std::string steps = R"({"count":8,"cpu":700,"estimate_ms":150})";
+      return IsAnsweredOk(entry.address, JobWithDeadline(++id, steps, kDeadlineMs));
+    };
+  }
 };
 
 // Guards against admitting any number of tasks: a short text may describe ten thousand.
@@ -102,12 +146,8 @@
 
 // Guards against jobs that leave room for small ones only until their callers' deadline.
 TEST(UntrustedJobs, LargeJobsThatWaitLeaveRoomForOtherLargeOnes) {
-  entry.request = [this, id = kFirstShortId]() mutable {
-    return IsAnsweredOk(entry.address,
-                        JobWithDeadline(++id, R"({"count":500,"cpu":1,"estimate_ms":20})", 4000));
-  };
-  std::string steps = absl::StrCat(kFirstStep, R"(,{"count":499,"cpu":19000,"after":[0]})");
-  CheckUnder(entry, kClients, JobsThatWait(steps, 0));
+  entry.request = OrdinaryJobOfManyTasks();
+  CheckUnder(entry, kClients, JobsThatWait(FirstStep() + StepOfLongTasks(499), 0));
 }
 
 // Guards against any number of tasks that may all start at once.
@@ -131,9 +171,25 @@
 
 // Guards against jobs that hold all connections until their callers' deadline.
 TEST(UntrustedJobs, JobsThatWaitOnEveryConnection) {
-  // Few enough tasks for a small job, which run one after the other and leave room for others.
-  std::string steps = absl::StrCat(kFirstStep, R"(,{"count":80,"cpu":19000,"after":[0]})");
-  CheckUnder(entry, kClients, JobsThatWait(steps, 0));
+  CheckUnder(entry, kClients, JobsThatWait(FirstStep() + StepOfLongTasks(kTasksOfASmallJob), 0));
+}
+
+// Guards against taking a target for stalled because jobs state no estimate.
+TEST(UntrustedJobs, JobsWithoutEstimates) {
+  entry.request = OrdinaryJobOfSomeTasks();
+  CheckUnder(entry, kClients, JobsThatWait(StepsThatLeaveRoom(0), 0));
+}
+
+// Guards against the same with estimates that are far too low.
+TEST(UntrustedJobs, JobsWithTooLowEstimates) {
+  entry.request = OrdinaryJobOfSomeTasks();
+  CheckUnder(entry, kClients, JobsThatWait(StepsThatLeaveRoom(1), 0));
+}
+
+// Guards against the same with an ordinary job whose many tasks take longer than it estimates.
+TEST(UntrustedJobs, LongTasksBesideAJobOfManyTasks) {
+  entry.request = OrdinaryJobOfManyTasks();
+  CheckUnder(entry, kClients, JobsThatOvertake());
 }
 
 // Guards against decoding any number of small texts at once.
