Count a task as a sign of a stalled target in its first run only

Seen: with the crowds of JobsWithoutEstimates the agent went on stopping the same tasks, 22 runs in 9 s. A legal task that takes more than twice what tasks usually take there is stopped in each of its runs if no other target has room, so that its caller never gets an answer.

Cause: an overdue run counted as a sign of a stall however often its task had been overdue before. A stop moves a task away from a target that may have stalled; a task that is overdue again says something of its estimate.

Change: only first runs count. If they show a stall, later runs that are overdue are stopped as well.

RunController.ATaskThatIsOverdueAgainIsNoStall fails without the change and holds with it.

--- a/libraries/leases/run_controller.h
+++ b/libraries/leases/run_controller.h
@@ -51,8 +51,8 @@
   /// A run is overdue after its predicted duration times this factor, plus the slack.
   double overdue_factor = 2;
   duration overdue_slack = std::chrono::milliseconds(50);
-  /// The target counts as stalled when this many runs, not all of one job, have become overdue
-  /// since the last run ended.
+  /// The target counts as stalled when the first runs of this many tasks, not all of one job, have
+  /// become overdue since the last run ended.
   size_t overdue_to_stall = 3;
   /// Share of failed runs from which a single overdue run suffices to count as stalled.
   double failing_limit = 0.5;
--- a/libraries/leases/stalled_target.cc
+++ b/libraries/leases/stalled_target.cc
@@ -22,17 +22,22 @@
   };
   std::vector<uint64_t> overdue;
   std::set<std::string_view> jobs;
+  size_t evidence = 0;
   for (const auto& [serial, run] : runs_) {
     instant from = overdue_from(run);
     if (run.state != run_state::kRunning || from > now || from < incarnation_->last_result) {
       continue;
     }
     overdue.push_back(serial);
-    jobs.insert(run.order.task.job);
+    // A task that is overdue in every run has a wrong estimate.
+    if (run.order.run == 1) {
+      ++evidence;
+      jobs.insert(run.order.task.job);
+    }
   }
   // On a target with a high failure rate a single overdue run suffices.
-  bool known_to_fail = speed_.failing() >= options_.failing_limit && !overdue.empty();
-  bool stalled = overdue.size() >= options_.overdue_to_stall && jobs.size() > 1;
+  bool known_to_fail = speed_.failing() >= options_.failing_limit && evidence > 0;
+  bool stalled = evidence >= options_.overdue_to_stall && jobs.size() > 1;
   return stalled || known_to_fail ? overdue : std::vector<uint64_t>{};
 }
 
--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -298,6 +298,22 @@
   CHECK_EQUAL(3, stops.size());
 }
 
+// Tasks whose estimates are too low were stopped in each of their runs, and the target took orders
+// for probes only.
+TEST(RunController, ATaskThatIsOverdueAgainIsNoStall) {
+  Ready();
+  LearnSpeed();
+  for (uint64_t number = 1; number <= 3; ++number) {
+    run_order order = MakeOrder(number, 2000);
+    order.task.job = number == 1 ? "aa" : "bb";
+    order.run = 2;
+    controller.Order(order, now);
+    controller.OnStartAnswered(starts.at(number).serial, start_answer::kStarted, ClockMs(), now);
+  }
+  Advance(Ms(400));
+  CHECK_EQUAL(0, stops.size());
+}
+
 TEST(RunController, StopsTheRunsOfASessionWhoseLeaseExpired) {
   Ready();
   controller.Order(MakeOrder(1), now);
