Order no task from a target that lacks memory or accelerators for it

Jobs that had to wait for memory were admitted as if they could start at once.

Cause: ExpectedWait and StartableTasks looked at the processor alone. A task that lacked memory was expected to wait for no time, which Choose takes for a free target.

Change: the wait is that of the resource that is lacked most, and never zero for a task that does not fit. As such a task is no longer ordered, it would end the placement of all jobs behind it: a pass goes on to the next job where only memory or accelerators are missing, as it did in effect before.

TargetTable.CountsTheTasksForWhichThereIsMemory is new; JobLimits.AJobThatWaitsForMemoryLeavesTheProcessorsToOthers fails without HasProcessorFor and holds with it.

--- a/libraries/leases/task_ref.h
+++ b/libraries/leases/task_ref.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <string>
 
 namespace wagtail::leased {
@@ -27,6 +28,19 @@
   bool Holds(const task_resources& needed) const {
     return needed.cpu <= cpu && needed.mem_mb <= mem_mb && needed.gpu <= gpu;
   }
+  /// @return how many tasks that each occupy `needed` fit into these resources
+  int64_t CountOf(const task_resources& needed) const {
+    int64_t count = std::numeric_limits<int64_t>::max();
+    auto limit = [&count](int64_t free, int64_t each) {
+      if (each > 0) {
+        count = std::min(count, std::max<int64_t>(free, 0) / each);
+      }
+    };
+    limit(cpu, needed.cpu);
+    limit(mem_mb, needed.mem_mb);
+    limit(gpu, needed.gpu);
+    return count;
+  }
   task_resources& operator+=(const task_resources& other) {
     cpu += other.cpu;
     mem_mb += other.mem_mb;
--- a/libraries/scheduler/job_placement.cc
+++ b/libraries/scheduler/job_placement.cc
@@ -66,7 +66,8 @@
       }
       order_batch single;
       if (!PlaceTask(owner, number, index, single, now)) {
-        capacity_left = false;
+        // A task that waits for memory or an accelerator leaves the processors to other jobs.
+        capacity_left = capacity_left && HasProcessorFor(owner, each, now);
         break;
       }
       order_batch& batch = batches[single.session];
@@ -114,6 +115,12 @@
   return demand;
 }
 
+bool job_scheduler::HasProcessorFor(const job& owner, const step& each, instant now) const {
+  target_table::task_demand demand = DemandOf(owner, each, now);
+  demand.resources = {.cpu = each.spec.resources.cpu};
+  return targets_.Choose(demand, now).has_value();
+}
+
 std::vector<std::string> job_scheduler::ExcludedForSuspect(const task& item) const {
   std::vector<std::string> excluded = item.excluded;
   std::ranges::transform(suspects_at_, std::back_inserter(excluded),
--- a/libraries/scheduler/job_scheduler.h
+++ b/libraries/scheduler/job_scheduler.h
@@ -234,6 +234,9 @@
   void PlaceByPolicy(instant now);
   void PlaceJob(job& owner, instant now, bool& capacity_left);
   bool PlaceLate(job& owner, instant now);
+  /// @return whether a target has enough processor time for a task of the step, whatever else it
+  ///   lacks
+  bool HasProcessorFor(const job& owner, const step& each, instant now) const;
   target_table::task_demand DemandOf(const job& owner, const step& each, instant now) const;
   bool PlaceTask(job& owner, uint32_t step_number, uint32_t index, order_batch& batch, instant now);
   void OnTaskFailed(job& owner, task& failed, const std::string& agent);
--- a/libraries/scheduler/target_table.cc
+++ b/libraries/scheduler/target_table.cc
@@ -7,9 +7,23 @@
 
 /// Assumed mean run time of a target that has not reported one yet.
 constexpr duration kDefaultMeanRunTime = std::chrono::milliseconds(200);
+/// Shortest expected wait of a task that does not fit now.
+constexpr duration kMinWait = std::chrono::milliseconds(1);
 /// Age at which the cached slowness of the fast targets is recomputed.
 constexpr duration kFastSlownessMaxAge = std::chrono::milliseconds(20);
 
+/// @return part of the capacity that `needed` lacks, of the resource that it lacks most
+double MissingShare(const task_resources& free, const task_resources& needed,
+                    const task_resources& capacity) {
+  auto share = [](int64_t available, int64_t wanted, int64_t all) {
+    auto missing = static_cast<double>(std::max<int64_t>(wanted - available, 0));
+    return missing / static_cast<double>(std::max<int64_t>(all, 1));
+  };
+  return std::max({share(free.cpu, needed.cpu, capacity.cpu),
+                   share(free.mem_mb, needed.mem_mb, capacity.mem_mb),
+                   share(free.gpu, needed.gpu, capacity.gpu)});
+}
+
 }  // namespace
 
 void target_table::OnSessionOpened(session_id session, const agent_identity& agent, instant now) {
@@ -79,8 +93,7 @@
     return duration::zero();
   }
   duration mean = load.mean_run > duration::zero() ? load.mean_run : kDefaultMeanRunTime;
-  auto missing = static_cast<double>(needed.cpu - free.cpu);
-  return Scaled(mean, std::max(missing, 0.0) / static_cast<double>(load.capacity.cpu));
+  return std::max(Scaled(mean, MissingShare(free, needed, load.capacity)), kMinWait);
 }
 
 bool target_table::MeetsObjective(const row& target, const task_demand& demand,
@@ -180,9 +193,9 @@
 int64_t target_table::StartableTasks(const task_demand& demand, instant now) const {
   int64_t tasks = 0;
   for (const auto& [session, target] : rows_) {
-    int64_t needed = OccupiedBy(demand.resources, target.report.load.capacity).cpu;
-    if (IsEligible(target, demand, now) && needed > 0) {
-      tasks += std::max<int64_t>(FreeFor(target, demand).cpu, 0) / needed;
+    task_resources needed = OccupiedBy(demand.resources, target.report.load.capacity);
+    if (IsEligible(target, demand, now) && needed.cpu > 0) {
+      tasks += FreeFor(target, demand).CountOf(needed);
     }
   }
   return tasks;
--- a/tests/scheduler/job_limits_test.cc
+++ b/tests/scheduler/job_limits_test.cc
@@ -79,4 +79,16 @@
   CHECK_EQUAL(1, orders.size());
 }
 
+// A job whose tasks wait for memory must not keep out jobs for which there is room.
+TEST(JobLimits, AJobThatWaitsForMemoryLeavesTheProcessorsToOthers) {
+  AddTarget(1);
+  job_submission job = Job("a", 2);
+  job.steps[0].resources = {.cpu = 6000, .mem_mb = 990, .gpu = 0};
+  Submit(5, std::move(job));
+  now += Ms(1);
+  Submit(6, Job("b", 1));
+  CHECK_EQUAL(2, orders.size());
+  STRCMP_EQUAL("b", orders[1].task.job.c_str());
+}
+
 }  // namespace wagtail::leased
--- a/tests/scheduler/target_table_test.cc
+++ b/tests/scheduler/target_table_test.cc
@@ -86,6 +86,22 @@
   CHECK_EQUAL(4, table.StartableTasks(Demand(), now));
 }
 
+// Tasks that wait for memory or an accelerator were counted as ones that could start.
+TEST(TargetTable, CountsTheTasksForWhichThereIsMemory) {
+  session_report report = Report();
+  report.load.capacity.gpu = 4;
+  report.load.free = {.cpu = 64'000, .mem_mb = 500, .gpu = 1};
+  Add(1, report);
+  target_table::task_demand demand = Demand();
+  demand.resources.mem_mb = 200;
+  CHECK_EQUAL(2, table.StartableTasks(demand, now));
+  demand.resources.gpu = 1;
+  CHECK_EQUAL(1, table.StartableTasks(demand, now));
+  demand.resources.gpu = 2;
+  CHECK_EQUAL(0, table.StartableTasks(demand, now));
+  CHECK(!table.Choose(demand, now).has_value());
+}
+
 // A task that needs nearly a whole target never started, although a target was idle.
 TEST(TargetTable, AnIdleTargetStartsATaskThatLeavesNoReserve) {
   Add(1, Report(1.0, 64'000));
