Place jobs of one service while another has no room

Seen: found by reading. While the targets of one service were full and a job waited for them, the jobs of all other services behind it in the order waited as well, though their targets were idle. Callers of one service could keep out those of another, as long as they had work waiting.

Cause: a placement pass ended at the first job whose tasks found no room, whatever its service. Services whose queues differ in priority are placed one by one and were not affected.

Change: a pass goes on to the next job of another service.

Result: JobLimits.AServiceWithoutRoomKeepsNoOtherOut fails without the change (1 order where 2 are expected) and holds with it; the other 108 tests of the scheduler hold.

--- a/libraries/scheduler/job_placement.cc
+++ b/libraries/scheduler/job_placement.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -40,12 +41,17 @@
     return std::tuple(item.late, item.latest_start, item.priority,
                       std::string_view(item.owner->submission.id));
   });
-  bool capacity_left = true;
+  std::set<std::string_view> full_services;
   for (const placement_candidate& item : waiting) {
-    if (!capacity_left) {
-      break;
+    std::string_view service = item.owner->submission.queue.service;
+    if (full_services.contains(service)) {
+      continue;
     }
+    bool capacity_left = true;
     PlaceJob(*item.owner, now, capacity_left);
+    if (!capacity_left) {
+      full_services.insert(service);
+    }
   }
 }
 
--- a/tests/scheduler/job_limits_test.cc
+++ b/tests/scheduler/job_limits_test.cc
@@ -91,4 +91,21 @@
   STRCMP_EQUAL("b", orders[1].task.job.c_str());
 }
 
+// Callers of one service must not wait for room at the targets of another.
+TEST(JobLimits, AServiceWithoutRoomKeepsNoOtherOut) {
+  AddTarget(1, 6000);
+  session_report fans = Serving();
+  fans.load.service = "fans";
+  scheduler.OnSessionOpened(2, {.name = "fan", .address = "fan", .domain = "zone-1"}, now);
+  scheduler.OnReport(2, fans, now);
+  Submit(5, Job("a", 2));
+  CHECK_EQUAL(1, orders.size());
+  now += Ms(1);
+  job_submission other = Job("b", 1);
+  other.queue.service = "fans";
+  Submit(6, std::move(other));
+  CHECK_EQUAL(2, orders.size());
+  CHECK_EQUAL(2, sessions[1]);
+}
+
 }  // namespace wagtail::leased
