Answer 504 to a copy of a running job wherever it is refused for now

A second request for a job that runs in this entry was answered 503 while the entry was overloaded, was about to stop or had no plan. A 503 promises that the job never runs.

Cause: the filters that refuse before the body is decoded did not ask whether the job is in progress; the one that did asked the event loop, which may be what is overloaded.

Change: the requests that wait in an entry keep their jobs in a set of its own, guarded by a mutex, and every refusal for now asks it.

Not covered: a copy that reaches another entry, which does not know of the job, and one that HTTP limits refuse before the filters run.

--- a/services/dispatchd/dispatch_requests.cc
+++ b/services/dispatchd/dispatch_requests.cc
@@ -56,7 +56,7 @@
     });
   };
   hooks.decode = [this](std::string_view body) { return DecodeJob(body); };
-  hooks.in_progress = [this](std::string_view job) { return IsInProgress(job); };
+  hooks.in_progress = [this](std::string_view job) { return jobs_in_progress_.Contains(job); };
   hooks.submit = [this](front_request& request) { return Submit(request); };
   hooks.cancel = [this](front_request& request) { return Cancel(request); };
   hooks.state = [this](front_request& request) { return JobState(request); };
@@ -110,6 +110,7 @@
 }
 
 http_response dispatch_service::Submit(front_request& request) {
+  jobs_in_progress::request in_progress(jobs_in_progress_, request.job);
   auto pending = std::make_shared<pending_answer>();
   request_serial serial = next_serial_++;
   duration deadline = request.submission.deadline;
@@ -146,16 +147,6 @@
   return platform::WriteAnswer(*answer);
 }
 
-bool dispatch_service::IsInProgress(std::string_view job) {
-  bool found = false;
-  loop_.Run([&] {
-    found = scheduler_->HasJob(std::string(job)) ||
-            std::ranges::any_of(
-                arrivals_, [job](const arrival& waiting) { return waiting.submission.id == job; });
-  });
-  return found;
-}
-
 void dispatch_service::AdmitArrivals() {
   for (arrival& admitted : std::exchange(arrivals_, {})) {
     instant now = BootTimeNow();
--- a/services/dispatchd/dispatch_service.h
+++ b/services/dispatchd/dispatch_service.h
@@ -22,6 +22,7 @@
 #include "services/dispatchd/first_plan_gate.h"
 #include "services/dispatchd/front_filters.h"
 #include "services/dispatchd/job_memory.h"
+#include "services/dispatchd/jobs_in_progress.h"
 #include "services/dispatchd/load_monitor.h"
 #include "services/dispatchd/overload_metrics.h"
 #include "services/dispatchd/pending_answer.h"
@@ -82,7 +83,6 @@
   size_t MaxBodyBytes() const;
   std::optional<duration> AwaitPlan(duration deadline);
   http_response Submit(front_request& request);
-  bool IsInProgress(std::string_view job);
   void AdmitArrivals();
   http_response Cancel(const front_request& request);
   http_response JobState(const front_request& request);
@@ -94,6 +94,7 @@
   metrics_registry metrics_;
   platform::http_listeners listeners_;
   job_memory job_memory_;
+  jobs_in_progress jobs_in_progress_;
   family<counter>* answers_;
   family<histogram>* answer_seconds_;
   snapshot_cell<operating_plan> shared_plan_;  ///< read by the connection threads
--- a/services/dispatchd/front_filters.cc
+++ b/services/dispatchd/front_filters.cc
@@ -1,5 +1,6 @@
 #include "services/dispatchd/front_filters.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -58,6 +59,23 @@
   return std::nullopt;
 }
 
+/// @param job id, valid or not
+/// @return the refusal of a request that could be served later; to a copy of a job in progress,
+/// 504,
+///   as 503 says that the job does not run
+http_response RefuseForNow(const front_hooks& hooks, std::string_view job,
+                           std::string_view message) {
+  if (hooks.in_progress(job)) {
+    return platform::WriteRefusal(kGatewayTimeout, "job_in_progress", kNoRetry);
+  }
+  return platform::WriteRefusal(kUnavailable, message, kRetry);
+}
+
+/// @return the part of a path that is a job's id if the path names a job; no plan is needed for it
+std::string_view JobIdOf(std::string_view path) {
+  return path.substr(path.size() - std::min(path.size(), platform::kJobIdLength));
+}
+
 /// @param error why a job was not decoded, or not kept
 http_response RefusalOf(const front_hooks& hooks, const front_request& request,
                         const absl::Status& error) {
@@ -67,11 +85,7 @@
     case platform_error::kUnsupported:
       return platform::WriteRefusal(kUnavailable, "kind_of_job_not_built", kRetry);
     case platform_error::kNoMemory:
-      if (hooks.in_progress(request.job)) {
-        // A 503 would say that the job does not run.
-        return platform::WriteRefusal(kGatewayTimeout, "job_in_progress", kNoRetry);
-      }
-      return platform::WriteRefusal(kUnavailable, message, kRetry);
+      return RefuseForNow(hooks, request.job, message);
     case platform_error::kTooLarge:
       return platform::WriteRefusal(kTooLarge, message, kNoRetry);
     default:
@@ -106,13 +120,14 @@
 std::vector<front_filter> MakeFrontFilters(const front_hooks& hooks) {
   std::vector<front_filter> filters;
   filters.emplace_back([hooks](front_request& request) -> std::optional<http_response> {
+    std::string_view job = JobIdOf(request.http->path);
     if (hooks.stopping()) {
-      return platform::WriteRefusal(kUnavailable, "stopping", kRetry);
+      return RefuseForNow(hooks, job, "stopping");
     }
     // Checked before the job is parsed, so that a refusal costs little of the scarce processor
     // time.
     if (request.http->method == "POST" && hooks.busy()) {
-      http_response refusal = platform::WriteRefusal(kUnavailable, "entry_busy", kRetry);
+      http_response refusal = RefuseForNow(hooks, job, "entry_busy");
       // The caller's next connection may reach an entry with spare capacity.
       refusal.headers["connection"] = "close";
       return refusal;
@@ -120,7 +135,7 @@
     duration deadline = platform::ReadDeadline(*request.http).value_or(kDefaultDeadline);
     std::optional<duration> waited = hooks.await_plan(deadline);
     if (!waited.has_value()) {
-      return platform::WriteRefusal(kUnavailable, "no_plan_yet", kRetry);
+      return RefuseForNow(hooks, job, "no_plan_yet");
     }
     request.waited = *waited;
     return std::nullopt;
--- a/services/dispatchd/front_filters.h
+++ b/services/dispatchd/front_filters.h
@@ -49,7 +49,7 @@
   /// Decodes the body of a job.
   std::function<absl::StatusOr<platform::job_body>(std::string_view body)> decode =
       platform::ReadJob;
-  /// Whether an earlier request for this job is in progress.
+  /// Whether an earlier request for this job is in progress. Must not wait for the event loop.
   std::function<bool(std::string_view job)> in_progress;
   std::function<http_response(front_request&)> submit;
   std::function<http_response(front_request&)> cancel;
--- a/tests/dispatchd/first_plan_test.cc
+++ b/tests/dispatchd/first_plan_test.cc
@@ -35,6 +35,7 @@
       return queue_match{.max_body_bytes = 10'000,
                          .queue = queue_plan{.name = "q", .path_prefix = "/q/", .service = "s"}};
     };
+    hooks.in_progress = [](std::string_view) { return false; };
     hooks.submit = [this](front_request& request) {
       submitted.push_back(request.submission);
       return http_response{.status = 200, .headers = {}, .body = "{}"};
