--- a/tests/leases/run_controller_test.cc
+++ b/tests/leases/run_controller_test.cc
@@ -288,7 +288,7 @@
   for (uint64_t number = 1; number <= 3; ++number) {
     run_order order = MakeOrder(number, 2000);
     order.task.job = number == 1 ? "aa" : "bb";
-    order.estimate = Ms(number - 1);
+    order.estimate = Ms(static_cast<int64_t>(number) - 1);
     controller.Order(order, now);
     controller.OnStartAnswered(starts.at(number).serial, start_answer::kStarted, ClockMs(), now);
   }
