Split the faults and the checks of the soak out of soak_cluster.cc

Change: soak_faults.cc and soak_checks.cc, moved word for word; three constants and Domain became members of the class.

--- a/tests/fault_soak/soak_cluster.h
+++ b/tests/fault_soak/soak_cluster.h
@@ -64,6 +64,12 @@
   };
   using action = std::function<void()>;
 
+  static constexpr uint16_t kFrontPort = 8161;
+  /// Same as in the platform's settings.
+  static constexpr duration kGrace = std::chrono::seconds(6);
+
+  /// @return the failure domain of the VM with this number
+  static std::string Domain(size_t number);
   void AddVms();
   void StartVm(cluster_vm& vm);
   std::string SettingsOf(const cluster_vm& vm) const;
