Move the jobs of crowds out of untrusted_jobs_test.cc

Cause: another test program file needs the same jobs.

Change: crowd_jobs.h and crowd_jobs.cc; no crowd and no bound is changed.

--- a/tests/untrusted_clients/untrusted_jobs_test.cc
+++ b/tests/untrusted_clients/untrusted_jobs_test.cc
@@ -3,10 +3,10 @@
 #include <string>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_format.h"
 #include "tests/fault_soak/soak_caller.h"
 #include "tests/untrusted_clients/attacked_process.h"
 #include "tests/untrusted_clients/client_crowd.h"
+#include "tests/untrusted_clients/crowd_jobs.h"
 #include "tests/untrusted_clients/crowd_requests.h"
 #include "tests/untrusted_clients/small_cluster.h"
 // Included last: CppUTest's macros must not affect the library headers.
@@ -26,90 +26,8 @@
 constexpr size_t kSmallBodyBytes = 16 * kKilobyte;
 /// Small requests that each client sends on one connection.
 constexpr size_t kSmallRequests = 20;
-/// Limit on the tasks of a job.
-constexpr size_t kMaxTasks = 10'000;
-constexpr int64_t kDayMs = 86'400'000;
-/// Few enough for a job that fits into the part of the memory for small ones.
-constexpr size_t kTasksOfASmallJob = 80;
 constexpr const char* kHeartbeatPath = "/-/Instances.Heartbeat/crowd";
 
-/// Jobs with ids from here on run for the normal time at the fake target.
-constexpr size_t kFirstShortId = 0x2000'0000'0000'0000;
-
-/// @param steps comma-separated objects, the steps of the job
-/// @param deadline_ms how long the caller waits
-/// @return the request that submits a job
-std::string JobWithDeadline(size_t id, const std::string& steps, int64_t deadline_ms) {
-  std::string body = absl::StrCat(R"({"best_effort":true,"job_spec":"on","steps":[)", steps, "]}");
-  std::string path = kSoakPath + absl::StrFormat("%016x", id);
-  return Head(path,
-              absl::StrCat("Deadline-Ms: ", deadline_ms, "\r\nContent-Length: ", body.size())) +
-         body;
-}
-
-/// @param steps of each job, whose caller waits for a day
-/// @param first_id tasks run for seconds at the fake target if it is below kFirstShortId
-crowd_script JobsThatWait(const std::string& steps, size_t first_id = kFirstShortId) {
-  return {.head_of = [=](size_t connection) {
-    return JobWithDeadline(first_id + connection, steps, kDayMs);
-  }};
-}
-
-/// @return first step of a job that is admitted whatever else waits: its task can start at once
-std::string FirstStep(int64_t estimate_ms = kDayMs) {
-  return absl::StrCat(R"({"count":1,"cpu":1,"estimate_ms":)", estimate_ms, "}");
-}
-
-/// @return a second step whose tasks run one after the other and leave room for others
-std::string StepOfLongTasks(size_t count) {
-  return absl::StrCat(R"(,{"count":)", count, R"(,"cpu":19000,"after":[0]})");
-}
-
-/// @return long jobs of which later ones start first: the one that waits longest is not running
-crowd_script JobsThatOvertake() {
-  return {.head_of = [](size_t connection) {
-    constexpr int64_t kStepMs = 1000;
-    int64_t estimate_ms = kDayMs - kStepMs * static_cast<int64_t>(connection);
-    return JobWithDeadline(connection, FirstStep(estimate_ms) + StepOfLongTasks(kTasksOfASmallJob),
-                           kDayMs);
-  }};
-}
-
-/// @return a first step, and one whose tasks wait for room
-std::string StepsThatWait(size_t tasks) {
-  return absl::StrCat(FirstStep(), R"(,{"count":)", tasks,
-                      R"(,"cpu":6000,"estimate_ms":86400000,"after":[0]})");
-}
-
-/// @return a step whose tasks all fit into the target at once
-std::string StepOfTinyTasks() {
-  return absl::StrCat(R"({"count":)", kMaxTasks, R"(,"cpu":1,"estimate_ms":86400000})");
-}
-
-/// @return steps that each need the whole target, all after the first one
-std::string StepsOfOneTask(size_t count) {
-  std::string steps = FirstStep();
-  for (size_t number = 1; number < count; ++number) {
-    steps += R"(,{"count":1,"cpu":36000,"after":[0]})";
-  }
-  return steps;
-}
-
-/// @return a first step, and a task of which three run at once and leave a sixth of the target
-std::string StepsThatLeaveRoom(int64_t estimate_ms) {
-  return absl::StrCat(FirstStep(), R"(,{"count":1,"cpu":10000,"after":[0],"estimate_ms":)",
-                      estimate_ms, "}");
-}
-
-/// @return a JSON text of almost `size` bytes, whose decoded form is many times as large
-std::string EmptyContainers(size_t size) {
-  std::string text = "[[]";
-  while (text.size() + 4 < size) {
-    text += ",[]";
-  }
-  return text + "]";
-}
-
 }  // namespace
 
 TEST_GROUP(UntrustedJobs) {
