Count the cases of a failed test program once

Seen: meta/test.sh closed with 976 passed, 6 failed where the run before had said 1100 passed, 9 failed, though cases had been added.

Cause: ctest prints the output of a failed program twice, so that its cases were counted twice; the total went up with every program that failed.

Change: only numbered lines are counted, which ctest prints once.

--- a/meta/test.sh
+++ b/meta/test.sh
@@ -12,7 +12,9 @@
 ctest_code=$?
 # The lines after a failure have its message.
 grep -E -A 4 'error: Failure in TEST|^[0-9]+: +(expected|but was)' "$log"
-total=$(grep -oE '\(([0-9]+ failures?, )?[0-9]+ tests, [0-9]+ ran' "$log" | grep -oE '[0-9]+ ran' | awk '{n+=$1} END{print n+0}')
+# ctest prints the output of a failed program twice, the second time without its number.
+total=$(grep -oE '^[0-9]+: .*\(([0-9]+ failures?, )?[0-9]+ tests, [0-9]+ ran' "$log" |
+  grep -oE '[0-9]+ ran' | awk '{n+=$1} END{print n+0}')
 known=0 unknown=0
 while read -r program case; do
   [ -n "$case" ] || continue
