Reword the comments on refusals and on jobs in progress

Cause: read as a newcomer, the comment of RefuseForNow was broken by the formatter in mid-sentence, and two public items of jobs_in_progress had none.

Change: comments only. Result: the code is unchanged; clang-format is clean.

--- a/services/dispatchd/front_filters.cc
+++ b/services/dispatchd/front_filters.cc
@@ -59,10 +59,10 @@
   return std::nullopt;
 }
 
+/// Refuses a request that could be served later. To a copy of a job in progress a 503 would be
+/// untrue, as it says that the job does not run.
 /// @param job id, valid or not
-/// @return the refusal of a request that could be served later; to a copy of a job in progress,
-/// 504,
-///   as 503 says that the job does not run
+/// @return 503, or 504 if the job is in progress
 http_response RefuseForNow(const front_hooks& hooks, std::string_view job,
                            std::string_view message) {
   if (hooks.in_progress(job)) {
--- a/services/dispatchd/jobs_in_progress.h
+++ b/services/dispatchd/jobs_in_progress.h
@@ -15,6 +15,7 @@
   /// Keeps a job in progress until its destruction.
   class request {
    public:
+    /// @param jobs must outlive the request
     request(jobs_in_progress& jobs, std::string job);
     ~request();
     request(const request&) = delete;
@@ -25,6 +26,7 @@
     const std::string job_;
   };
 
+  /// @return whether a request for this job waits
   bool Contains(std::string_view job) const;
 
  private:
